--- /dev/null
+++ b/src/samphirespring/connection/backend_dialect.py
@@ -0,0 +1,68 @@
+"""How requests and answers look on the connection to a backend server."""
+
+from abc import ABC, abstractmethod
+
+from samphirespring.connection.http_headers import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+)
+from samphirespring.connection.refusals import BodyRefusalReader, RefusalReader
+from samphirespring.request.messages import AnswerHead, AttemptRequest
+
+REPLACED_HEADERS = frozenset(
+    {DEADLINE_HEADER, ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, b"content-length", b"expect"}
+)
+"""Headers of the caller that the agent sets itself."""
+
+HttpHeaders = list[tuple[bytes, bytes]]
+
+
+class BackendDialect(ABC):
+    """Names of headers towards backend servers, and how their refusals are told."""
+
+    @abstractmethod
+    def make_headers(self, request: AttemptRequest) -> HttpHeaders:
+        """Return the headers of an attempt, without those that concern one connection only.
+
+        Args:
+            request: The attempt.
+        """
+
+    @abstractmethod
+    def belongs_to(self, head: AnswerHead, request: AttemptRequest) -> bool:
+        """Return whether an answer may be the one to an attempt.
+
+        Args:
+            head: Head of the answer.
+            request: The attempt.
+        """
+
+    @abstractmethod
+    def make_refusal_reader(self) -> RefusalReader:
+        """Return what recognises a statement that the request didn't start."""
+
+
+class SamphireDialect(BackendDialect):
+    """The project's own headers, and refusals that are typed in the body."""
+
+    def make_headers(self, request: AttemptRequest) -> HttpHeaders:
+        """Return the headers of an attempt."""
+        headers = [
+            (header.name, header.value)
+            for header in request.headers
+            if header.name not in REPLACED_HEADERS
+        ]
+        headers.append((DEADLINE_HEADER, str(request.remaining_ms).encode()))
+        headers.append((ATTEMPT_HEADER, request.attempt.encode()))
+        if request.key is not None:
+            headers.append((IDEMPOTENCY_KEY_HEADER, request.key.encode()))
+        return headers
+
+    def belongs_to(self, head: AnswerHead, request: AttemptRequest) -> bool:
+        """Return True: backend servers don't echo an id."""
+        return True
+
+    def make_refusal_reader(self) -> RefusalReader:
+        """Return a reader of typed bodies."""
+        return BodyRefusalReader()
--- /dev/null
+++ b/src/samphirespring/connection/caller_dialect.py
@@ -0,0 +1,246 @@
+"""How callers' requests and answers look in HTTP."""
+
+import re
+import uuid
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import msgspec
+
+from samphirespring.connection.http_headers import (
+    ATTEMPTS_HEADER,
+    DEADLINE_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+    find_header,
+    select_end_to_end,
+)
+from samphirespring.connection.problems import (
+    PROBLEM_CONTENT_TYPE,
+    encode_problem,
+    make_problem,
+)
+from samphirespring.process.errors import SamphireError
+from samphirespring.request.caller import AnswerFacts, CallerRequest
+from samphirespring.request.errors import (
+    DeadlineExpiredError,
+    MalformedRequestError,
+    RequestError,
+)
+from samphirespring.request.ids import IdempotencyKey, RequestId
+from samphirespring.request.messages import Header
+from samphirespring.request.states import Outcome
+from samphirespring.version.document import FleetSection
+from samphirespring.version.ids import NO_WORKSPACE, WorkspaceId
+from samphirespring.version.routes import CompiledDocument
+
+KEY_PATTERN = re.compile(rb"^[!-~]{1,200}$")
+WORKSPACE_PATTERN = re.compile(rb"^[!-~]{1,200}$")
+
+
+class HttpAnswerHead(msgspec.Struct, frozen=True, kw_only=True):
+    """Status and headers as they go to the caller."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+class CallerDialect(ABC):
+    """Names of headers towards callers, and what an answer of the front's own looks like."""
+
+    @abstractmethod
+    def read_request_id(self, headers: Iterable[tuple[bytes, bytes]]) -> RequestId:
+        """Return the id of a request.
+
+        Args:
+            headers: Its headers as they came, names in lower case.
+        """
+
+    @abstractmethod
+    def make_request(
+        self, request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
+    ) -> CallerRequest:
+        """Return a request in the front's terms.
+
+        Args:
+            request_id: Its id.
+            scope: The ASGI scope.
+            body: The whole body.
+            compiled: The document in force.
+
+        Raises:
+            RequestError: The request can't be understood, or has no time left.
+        """
+
+    @abstractmethod
+    def make_head(
+        self, status: int, headers: Sequence[Header], facts: AnswerFacts
+    ) -> HttpAnswerHead:
+        """Return the head of a backend server's answer.
+
+        Args:
+            status: Its status.
+            headers: Its headers.
+            facts: What the system itself tells.
+        """
+
+    @abstractmethod
+    def make_error(
+        self, error: SamphireError, status: int, request_id: RequestId, *, body_length: int
+    ) -> HttpAnswerHead:
+        """Return the head of an answer that says why there is no other one.
+
+        Args:
+            error: The error.
+            status: Its usual status.
+            request_id: The request.
+            body_length: Length of the body that follows, in bytes.
+        """
+
+    def make_error_body(self, error: SamphireError, status: int, request_id: RequestId) -> bytes:
+        """Return the body that says why there is no other answer.
+
+        Args:
+            error: The error.
+            status: Its usual status.
+            request_id: The request.
+        """
+        return encode_problem(make_problem(error, status=status, request=request_id))
+
+
+class SamphireCallerDialect(CallerDialect):
+    """The project's own headers."""
+
+    def read_request_id(self, headers: Iterable[tuple[bytes, bytes]]) -> RequestId:
+        """Return a new id."""
+        return RequestId(uuid.uuid4().hex)
+
+    def make_request(
+        self, request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
+    ) -> CallerRequest:
+        """Return a request in the front's terms."""
+        headers = select_end_to_end(scope["headers"])
+        fleet = FleetSection() if compiled is None else compiled.fleet
+        return CallerRequest(
+            request=request_id,
+            method=scope["method"],
+            host=read_host(headers),
+            path=scope["path"],
+            target=read_target(scope),
+            headers=headers,
+            body=body,
+            deadline_ms=read_deadline_ms(headers, DEADLINE_HEADER),
+            address=read_address(scope),
+            workspace=_read_workspace(headers, fleet),
+            key=_read_key(headers),
+        )
+
+    def make_head(
+        self, status: int, headers: Sequence[Header], facts: AnswerFacts
+    ) -> HttpAnswerHead:
+        """Return the head of a backend server's answer, with the system's own facts."""
+        own = (
+            Header(OUTCOME_HEADER, facts.outcome.value.encode()),
+            Header(ATTEMPTS_HEADER, str(facts.attempt_count).encode()),
+            Header(REQUEST_HEADER, facts.request.encode()),
+        )
+        return HttpAnswerHead(status=status, headers=(*headers, *own))
+
+    def make_error(
+        self, error: SamphireError, status: int, request_id: RequestId, *, body_length: int
+    ) -> HttpAnswerHead:
+        """Return the head of a problem report."""
+        headers = [
+            Header(b"content-type", PROBLEM_CONTENT_TYPE),
+            Header(b"content-length", str(body_length).encode()),
+            Header(REQUEST_HEADER, request_id.encode()),
+        ]
+        if isinstance(error, RequestError):
+            headers.append(Header(ATTEMPTS_HEADER, str(error.attempt_count).encode()))
+            headers.append(Header(OUTCOME_HEADER, error.outcome.value.encode()))
+            if error.retry_after_s is not None:
+                headers.append(Header(b"retry-after", str(error.retry_after_s).encode()))
+        else:
+            # An error inside the front doesn't tell how far an attempt got.
+            headers.append(Header(OUTCOME_HEADER, Outcome.UNKNOWN.value.encode()))
+        return HttpAnswerHead(status=status, headers=tuple(headers))
+
+
+def read_target(scope: Any) -> bytes:
+    """Return the path with its query, as the caller wrote it.
+
+    Args:
+        scope: The ASGI scope.
+    """
+    query: bytes = scope["query_string"]
+    raw_path: bytes = scope["raw_path"]
+    return raw_path + b"?" + query if query else raw_path
+
+
+def read_host(headers: Sequence[Header]) -> str:
+    """Return the host name without port, in lower case.
+
+    Args:
+        headers: The headers.
+
+    Raises:
+        MalformedRequestError: There is none.
+    """
+    value = find_header(headers, b"host")
+    if value is None:
+        raise MalformedRequestError("the Host header is missing")
+    host = value.decode("latin-1").lower()
+    if host.startswith("["):
+        return host.partition("]")[0] + "]"
+    return host.partition(":")[0]
+
+
+def read_address(scope: Any) -> str:
+    """Return the caller's IP address, empty if it isn't known.
+
+    Args:
+        scope: The ASGI scope.
+    """
+    client: tuple[str, int] | None = scope.get("client")
+    return "" if client is None else client[0]
+
+
+def read_deadline_ms(headers: Sequence[Header], name: bytes) -> int | None:
+    """Return the time that the caller grants, in milliseconds, or None if it doesn't say.
+
+    Args:
+        headers: The headers.
+        name: Header that says it.
+
+    Raises:
+        MalformedRequestError: The value isn't a number.
+        DeadlineExpiredError: No time is left.
+    """
+    value = find_header(headers, name)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 9:
+        raise MalformedRequestError(f"{name.decode().title()} isn't a whole number of milliseconds")
+    if int(value) == 0:
+        raise DeadlineExpiredError("the deadline had passed when the request came")
+    return int(value)
+
+
+def _read_key(headers: Sequence[Header]) -> IdempotencyKey | None:
+    value = find_header(headers, IDEMPOTENCY_KEY_HEADER)
+    if value is None:
+        return None
+    if not KEY_PATTERN.match(value):
+        raise MalformedRequestError("Idempotency-Key isn't 1 to 200 visible ASCII characters")
+    return IdempotencyKey(value.decode())
+
+
+def _read_workspace(headers: Sequence[Header], fleet: FleetSection) -> WorkspaceId:
+    value = find_header(headers, fleet.workspace_header.lower().encode())
+    if value is None:
+        return NO_WORKSPACE
+    if not WORKSPACE_PATTERN.match(value):
+        raise MalformedRequestError("the workspace header isn't 1 to 200 visible ASCII characters")
+    return WorkspaceId(value.decode())
--- a/src/samphirespring/connection/caller_http.py
+++ b/src/samphirespring/connection/caller_http.py
@@ -1,7 +1,5 @@
 """Callers' HTTP connections, as an ASGI application."""
 
-import re
-import uuid
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Any
@@ -9,43 +7,29 @@
 import anyio
 from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
 
+from samphirespring.connection.caller_dialect import (
+    CallerDialect,
+    HttpAnswerHead,
+    SamphireCallerDialect,
+)
 from samphirespring.connection.http_headers import (
-    ATTEMPTS_HEADER,
-    DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
-    OUTCOME_HEADER,
-    REQUEST_HEADER,
-    find_header,
-    select_end_to_end,
-)
-from samphirespring.connection.problems import (
-    PROBLEM_CONTENT_TYPE,
-    encode_problem,
-    make_problem,
 )
 from samphirespring.process.errors import InternalError, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import Front
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.settings import CallerLimits
-from samphirespring.request.caller import AnswerFacts, AnswerWriter, CallerRequest
+from samphirespring.request.caller import AnswerFacts, AnswerWriter
 from samphirespring.request.earlier_requests import doubt_earlier_requests
 from samphirespring.request.errors import (
     BodyTooLargeError,
-    DeadlineExpiredError,
-    MalformedRequestError,
     OverloadedError,
     RequestError,
 )
-from samphirespring.request.ids import IdempotencyKey, RequestId
+from samphirespring.request.ids import RequestId
 from samphirespring.request.messages import Header
-from samphirespring.request.states import Outcome
-from samphirespring.version.document import FleetSection
-from samphirespring.version.ids import NO_WORKSPACE, WorkspaceId
-from samphirespring.version.routes import CompiledDocument
 
-KEY_PATTERN = re.compile(rb"^[\x21-\x7e]{1,200}$")
-WORKSPACE_PATTERN = re.compile(rb"^[\x21-\x7e]{1,200}$")
 OVERLOAD_RETRY_S = 1
 
 _log = EventLog()
@@ -57,11 +41,15 @@
     Args:
         front: The front.
         limits: Bounds on requests.
+        dialect: Headers and answers; None takes the project's own.
     """
 
-    def __init__(self, front: Front, limits: CallerLimits) -> None:
+    def __init__(
+        self, front: Front, limits: CallerLimits, dialect: CallerDialect | None = None
+    ) -> None:
         self._front = front
         self._limits = limits
+        self._dialect = dialect or SamphireCallerDialect()
         self._in_flight = 0
 
     async def __call__(
@@ -70,19 +58,19 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        request_id = RequestId(uuid.uuid4().hex)
-        writer = _HttpAnswerWriter(send)
+        request_id = self._dialect.read_request_id(scope["headers"])
+        writer = _HttpAnswerWriter(send, self._dialect)
         try:
             with self._count_in_flight(scope["headers"]):
                 await self._serve(request_id, scope, receive, writer)
         except RequestError as error:
-            await _write_error(writer, error, error.status, request_id)
+            await writer.write_error(error, error.status, request_id)
         except SamphireError as error:
             _log.error(LogEvent.REQUEST_FAILED, request=request_id, code=error.code.value)
-            await _write_error(writer, error, 503, request_id)
+            await writer.write_error(error, 503, request_id)
         except Exception:
             _log.exception(LogEvent.REQUEST_FAILED, request=request_id)
-            await _write_error(writer, InternalError("internal error"), 500, request_id)
+            await writer.write_error(InternalError("internal error"), 500, request_id)
 
     @contextmanager
     def _count_in_flight(self, headers: Iterable[tuple[bytes, bytes]]) -> Iterator[None]:
@@ -109,7 +97,7 @@
         body = await self._read_body(receive)
         if body is None:
             return
-        request = _make_request(request_id, scope, body, compiled)
+        request = self._dialect.make_request(request_id, scope, body, compiled)
         failure: SamphireError | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_when_gone, receive, group)
@@ -140,32 +128,39 @@
 class _HttpAnswerWriter(AnswerWriter):
     """Writes an answer as ASGI messages."""
 
-    def __init__(self, send: ASGISendCallable) -> None:
+    def __init__(self, send: ASGISendCallable, dialect: CallerDialect) -> None:
         self._send = send
-        self.head_written = False
+        self._dialect = dialect
+        self._head_written = False
 
     async def write_head(self, status: int, headers: Sequence[Header], facts: AnswerFacts) -> None:
         """Write status and headers."""
-        own = (
-            Header(OUTCOME_HEADER, facts.outcome.value.encode()),
-            Header(ATTEMPTS_HEADER, str(facts.attempt_count).encode()),
-            Header(REQUEST_HEADER, facts.request.encode()),
-        )
-        await self.write_raw_head(status, (*headers, *own))
+        await self._write_head(self._dialect.make_head(status, headers, facts))
 
-    async def write_raw_head(self, status: int, headers: Sequence[Header]) -> None:
-        """Write status and headers as they are.
+    async def write_error(self, error: SamphireError, status: int, request_id: RequestId) -> None:
+        """Write why there is no answer; one that has begun is left unfinished.
 
         Args:
-            status: HTTP status.
-            headers: The headers.
+            error: The error.
+            status: Its usual HTTP status.
+            request_id: The request.
         """
-        self.head_written = True
+        if self._head_written:
+            await self.abort()
+            return
+        body = self._dialect.make_error_body(error, status, request_id)
+        head = self._dialect.make_error(error, status, request_id, body_length=len(body))
+        await self._write_head(head)
+        await self.write_chunk(body)
+        await self.finish()
+
+    async def _write_head(self, head: HttpAnswerHead) -> None:
+        self._head_written = True
         await self._send(
             {
                 "type": "http.response.start",
-                "status": status,
-                "headers": [(header.name, header.value) for header in headers],
+                "status": head.status,
+                "headers": [(header.name, header.value) for header in head.headers],
             }
         )
 
@@ -187,94 +182,3 @@
         if message["type"] == "http.disconnect":
             group.cancel_scope.cancel()
             return
-
-
-async def _write_error(
-    writer: _HttpAnswerWriter, error: SamphireError, status: int, request_id: RequestId
-) -> None:
-    if writer.head_written:
-        await writer.abort()
-        return
-    body = encode_problem(make_problem(error, status=status, request=request_id))
-    headers = [
-        Header(b"content-type", PROBLEM_CONTENT_TYPE),
-        Header(b"content-length", str(len(body)).encode()),
-        Header(REQUEST_HEADER, request_id.encode()),
-    ]
-    if isinstance(error, RequestError):
-        headers.append(Header(ATTEMPTS_HEADER, str(error.attempt_count).encode()))
-        headers.append(Header(OUTCOME_HEADER, error.outcome.value.encode()))
-        if error.retry_after_s is not None:
-            headers.append(Header(b"retry-after", str(error.retry_after_s).encode()))
-    else:
-        # An error inside the front doesn't tell how far an attempt got.
-        headers.append(Header(OUTCOME_HEADER, Outcome.UNKNOWN.value.encode()))
-    await writer.write_raw_head(status, headers)
-    await writer.write_chunk(body)
-    await writer.finish()
-
-
-def _make_request(
-    request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
-) -> CallerRequest:
-    headers = select_end_to_end(scope["headers"])
-    fleet = FleetSection() if compiled is None else compiled.fleet
-    query: bytes = scope["query_string"]
-    raw_path: bytes = scope["raw_path"]
-    return CallerRequest(
-        request=request_id,
-        method=scope["method"],
-        host=_read_host(headers),
-        path=scope["path"],
-        target=raw_path + b"?" + query if query else raw_path,
-        headers=headers,
-        body=body,
-        deadline_ms=_read_deadline_ms(headers),
-        address=_read_address(scope),
-        workspace=_read_workspace(headers, fleet),
-        key=_read_key(headers),
-    )
-
-
-def _read_host(headers: Sequence[Header]) -> str:
-    value = find_header(headers, b"host")
-    if value is None:
-        raise MalformedRequestError("the Host header is missing")
-    host = value.decode("latin-1").lower()
-    if host.startswith("["):
-        return host.partition("]")[0] + "]"
-    return host.partition(":")[0]
-
-
-def _read_address(scope: Any) -> str:
-    client: tuple[str, int] | None = scope.get("client")
-    return "" if client is None else client[0]
-
-
-def _read_deadline_ms(headers: Sequence[Header]) -> int | None:
-    value = find_header(headers, DEADLINE_HEADER)
-    if value is None:
-        return None
-    if not value.isdigit() or len(value) > 9:
-        raise MalformedRequestError("Samphire-Deadline-Ms isn't a whole number of milliseconds")
-    if int(value) == 0:
-        raise DeadlineExpiredError("the deadline had passed when the request came")
-    return int(value)
-
-
-def _read_key(headers: Sequence[Header]) -> IdempotencyKey | None:
-    value = find_header(headers, IDEMPOTENCY_KEY_HEADER)
-    if value is None:
-        return None
-    if not KEY_PATTERN.match(value):
-        raise MalformedRequestError("Idempotency-Key isn't 1 to 200 visible ASCII characters")
-    return IdempotencyKey(value.decode())
-
-
-def _read_workspace(headers: Sequence[Header], fleet: FleetSection) -> WorkspaceId:
-    value = find_header(headers, fleet.workspace_header.lower().encode())
-    if value is None:
-        return NO_WORKSPACE
-    if not WORKSPACE_PATTERN.match(value):
-        raise MalformedRequestError("the workspace header isn't 1 to 200 visible ASCII characters")
-    return WorkspaceId(value.decode())
--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
@@ -84,12 +84,12 @@
 
     Args:
         server: The server in uvicorn's terms.
-        listener: The listening socket, which the server closes.
+        listeners: The listening sockets, which the server closes.
     """
 
-    def __init__(self, server: uvicorn.Server, listener: socket.socket) -> None:
+    def __init__(self, server: uvicorn.Server, listeners: Sequence[socket.socket]) -> None:
         self._server = server
-        self._listener = listener
+        self._listeners = listeners
         self.draining = False
         """Whether answers tell clients to use another connection."""
 
@@ -104,7 +104,7 @@
 
     async def run(self) -> None:
         """Serve until `stop` is called and the requests in flight are answered."""
-        await self._server.serve(sockets=[self._listener])
+        await self._server.serve(sockets=list(self._listeners))
 
     async def wait_until_started(self) -> None:
         """Wait until the server listens."""
@@ -143,6 +143,7 @@
     app: Any,
     *,
     address: str,
+    more_addresses: Sequence[str] = (),
     header_bytes: int = 1 << 16,
     drain_timeout_s: float = 5.0,
     tls: ssl.SSLContext | None = None,
@@ -152,6 +153,7 @@
     Args:
         app: The application.
         address: `IP:port` to listen on.
+        more_addresses: Further ones for the same application.
         header_bytes: Largest size of a request's head, in bytes.
         drain_timeout_s: Longest wait for requests in flight, in seconds.
         tls: Context of the listening socket; None serves plain HTTP.
@@ -177,7 +179,8 @@
     )
     config.load()
     config.ssl = tls
-    server = HttpServer(_EmbeddedServer(config), open_listener(address))
+    listeners = [open_listener(listened) for listened in (address, *more_addresses)]
+    server = HttpServer(_EmbeddedServer(config), listeners)
     draining_app.server = server
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -1,5 +1,6 @@
 """Client end of a link between processes, on grpclib."""
 
+import socket
 import ssl
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -29,6 +30,41 @@
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.metrics import Metrics
 
+OPEN_TIMEOUT_S = 1.0
+"""Longest wait for a connection and a new stream on it, in seconds."""
+
+SILENCE_MS = 2_000
+"""How long sent bytes stay unacknowledged before the connection counts as broken."""
+
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+class _WatchedChannel(grpclib.client.Channel):
+    """Channel whose connection breaks soon after the peer has fallen silent."""
+
+    async def _create_connection(self) -> Any:
+        protocol = await super()._create_connection()
+        connection = protocol.connection
+        link_socket = connection._transport.get_extra_info("socket")
+        if link_socket is not None:
+            watch_for_silence(link_socket)
+        return protocol
+
+
+def watch_for_silence(link_socket: socket.socket) -> None:
+    """Have the kernel break a connection whose peer acknowledges nothing any more.
+
+    Args:
+        link_socket: The connected socket.
+    """
+    link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+
 
 class Link:
     """Connection to one process; it is opened on first use and again after a break.
@@ -48,9 +84,7 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
-        self._channel = grpclib.client.Channel(
-            host, int(port), codec=MsgpackCodec(metrics), ssl=tls
-        )
+        self._channel = _WatchedChannel(host, int(port), codec=MsgpackCodec(metrics), ssl=tls)
 
     def close(self) -> None:
         """Close the connection; calls in flight fail."""
@@ -101,10 +135,14 @@
         try:
             with undo_library_cancellation():
                 async with call.open() as stream:
-                    await stream.send_request()
+                    with anyio.fail_after(OPEN_TIMEOUT_S):
+                        await stream.send_request()
                     sent = True
                     await stream.send_message(request, end=True)
                     yield _iterate_replies(stream, self.address)
+        except TimeoutError:
+            # Nothing follows the header, so the peer starts nothing.
+            raise LinkUnavailableError(f"{self.address}: not opened in time", sent=sent) from None
         except OSError as error:
             raise LinkUnavailableError(f"{self.address}: {error}", sent=sent) from None
         except (ProtocolError, StreamTerminatedError, h2.exceptions.ProtocolError) as error:
--- a/src/samphirespring/connection/refusals.py
+++ b/src/samphirespring/connection/refusals.py
@@ -1,5 +1,7 @@
 """Typed refusals of backend servers, which say that a request never started."""
 
+from abc import ABC, abstractmethod
+
 import msgspec
 
 from samphirespring.connection.http_headers import find_header
@@ -35,28 +37,44 @@
     retry_after_ms: int | None
 
 
-class RefusalReader:
-    """Reads an answer while it passes, and recognises a typed refusal."""
-
-    def __init__(self) -> None:
-        self._head: AnswerHead | None = None
-        self._body = bytearray()
+class RefusalReader(ABC):
+    """Reads an answer while it passes, and recognises a statement that nothing started."""
 
+    @abstractmethod
     def take_head(self, head: AnswerHead) -> None:
         """Take status and headers.
 
         Args:
             head: The head.
         """
-        if head.status in (TOO_MANY_REQUESTS, UNAVAILABLE):
-            self._head = head
 
+    @abstractmethod
     def take_chunk(self, data: bytes) -> None:
         """Take part of the body.
 
         Args:
             data: The bytes.
         """
+
+    @abstractmethod
+    def read(self) -> TypedRefusal | None:
+        """Return the refusal in a complete answer, or None if the answer isn't one."""
+
+
+class BodyRefusalReader(RefusalReader):
+    """Recognises a refusal by its status and the code in its body."""
+
+    def __init__(self) -> None:
+        self._head: AnswerHead | None = None
+        self._body = bytearray()
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Take status and headers."""
+        if head.status in (TOO_MANY_REQUESTS, UNAVAILABLE):
+            self._head = head
+
+    def take_chunk(self, data: bytes) -> None:
+        """Take part of the body."""
         if self._head is not None and len(self._body) <= MAX_BODY_BYTES:
             self._body += data
 
--- a/src/samphirespring/connection/registry_link.py
+++ b/src/samphirespring/connection/registry_link.py
@@ -30,6 +30,9 @@
     unreached: tuple[str, ...] = ()
     """Link addresses of peers that didn't answer when they were asked for the first table."""
 
+    known_control: int = 0
+    """Digest of the control hosts' addresses that the sender knows; 0 for none."""
+
 
 class BatchReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What changed, and which hosts of the batch must send their records."""
@@ -39,6 +42,9 @@
     table_sources: tuple[str, ...] = ()
     """Link addresses of peers to ask for the whole table, which this reply then doesn't have."""
 
+    control_links: tuple[str, ...] = ()
+    """Link addresses of all control hosts, if the sender of the batch knows others."""
+
     age_s: float = 0.0
     """Time since the answering process heard the registry's leader, in seconds."""
 
--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -5,23 +5,15 @@
 
 import httpcore
 
-from samphirespring.connection.http_headers import (
-    ATTEMPT_HEADER,
-    DEADLINE_HEADER,
-    IDEMPOTENCY_KEY_HEADER,
-    select_end_to_end,
-)
+from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
+from samphirespring.connection.http_headers import select_end_to_end
+from samphirespring.connection.refusals import RefusalReader
 from samphirespring.connection.upstream_pool import UpstreamPool
 from samphirespring.process.addresses import parse_address
 from samphirespring.request.messages import AnswerChunk, AnswerHead, AttemptRequest
 from samphirespring.request.states import FailureKind
 
 CONNECT_TIMEOUT_S = 1.0
-REPLACED_HEADERS = frozenset(
-    {DEADLINE_HEADER, ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, b"content-length", b"expect"}
-)
-"""Headers of the caller that the agent sets itself."""
-
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -44,10 +36,16 @@
 
     Args:
         pool: The connections.
+        dialect: Headers and refusals; None takes the project's own.
     """
 
-    def __init__(self, pool: UpstreamPool) -> None:
+    def __init__(self, pool: UpstreamPool, dialect: BackendDialect | None = None) -> None:
         self._pool = pool
+        self._dialect = dialect or SamphireDialect()
+
+    def make_refusal_reader(self) -> RefusalReader:
+        """Return what recognises refusals in the answers."""
+        return self._dialect.make_refusal_reader()
 
     @asynccontextmanager
     async def exchange(
@@ -69,12 +67,17 @@
         self, request: AttemptRequest, address: str
     ) -> AsyncGenerator[AnswerHead | AnswerChunk, None]:
         head_seen = False
-        outgoing = _make_request(request, address)
+        outgoing = self._make_request(request, address)
         try:
             async with self._pool.use(address) as connection:
                 response = await connection.handle_async_request(outgoing)
                 try:
-                    yield _make_head(request, response)
+                    head = _make_head(request, response)
+                    if not self._dialect.belongs_to(head, request):
+                        # A late answer to an earlier request; its unread body closes the
+                        # connection.
+                        raise UpstreamError(FailureKind.MISMATCH, started=True)
+                    yield head
                     head_seen = True
                     async for data in response.aiter_stream():
                         yield AnswerChunk(data=data)
@@ -86,34 +89,21 @@
             kind = FailureKind.CUT if head_seen else FailureKind.RESET
             raise UpstreamError(kind, started=True) from None
 
-
-def _make_request(request: AttemptRequest, address: str) -> httpcore.Request:
-    parts = parse_address(address)
-    url = httpcore.URL(
-        scheme=b"http", host=parts.host.encode(), port=parts.port, target=request.path
-    )
-    return httpcore.Request(
-        request.method,
-        url,
-        headers=_make_headers(request),
-        content=request.body or None,
-        extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-    )
-
-
-def _make_headers(request: AttemptRequest) -> list[tuple[bytes, bytes]]:
-    headers = [
-        (header.name, header.value)
-        for header in request.headers
-        if header.name not in REPLACED_HEADERS
-    ]
-    headers.append((DEADLINE_HEADER, str(request.remaining_ms).encode()))
-    headers.append((ATTEMPT_HEADER, request.attempt.encode()))
-    if request.key is not None:
-        headers.append((IDEMPOTENCY_KEY_HEADER, request.key.encode()))
-    if request.body or request.method not in (b"GET", b"HEAD"):
-        headers.append((b"content-length", str(len(request.body)).encode()))
-    return headers
+    def _make_request(self, request: AttemptRequest, address: str) -> httpcore.Request:
+        parts = parse_address(address)
+        url = httpcore.URL(
+            scheme=b"http", host=parts.host.encode(), port=parts.port, target=request.path
+        )
+        headers = self._dialect.make_headers(request)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        return httpcore.Request(
+            request.method,
+            url,
+            headers=headers,
+            content=request.body or None,
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+        )
 
 
 def _make_head(request: AttemptRequest, response: httpcore.Response) -> AnswerHead:
--- a/src/samphirespring/connection/upstream_pool.py
+++ b/src/samphirespring/connection/upstream_pool.py
@@ -8,7 +8,8 @@
 
 from samphirespring.process.addresses import parse_address
 
-KEEPALIVE_EXPIRY_S = 30.0
+KEEPALIVE_EXPIRY_S = 4.0
+"""How long a connection is kept idle, in seconds; backend servers close theirs after some more."""
 
 
 class UpstreamPool:
@@ -37,7 +38,7 @@
         try:
             yield connection
         finally:
-            if connection.is_idle():
+            if connection.is_idle() and not _has_leftover(connection):
                 self._idle.setdefault(address, []).append(connection)
             else:
                 await close_connection(connection)
@@ -82,6 +83,18 @@
     return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE_EXPIRY_S)
 
 
+def _has_leftover(connection: httpcore.AsyncHTTPConnection) -> bool:
+    """Return whether bytes came after a complete answer: they belong to no request.
+
+    Args:
+        connection: An idle connection.
+    """
+    # httpcore keeps such bytes as the beginning of the next answer and has no public view of them.
+    inner = getattr(connection, "_connection", None)
+    state = getattr(inner, "_h11_state", None)
+    return state is not None and bool(state.trailing_data[0])
+
+
 async def close_connection(connection: httpcore.AsyncHTTPConnection) -> None:
     """Close a connection, also while the asking task is being cancelled.
 
--- /dev/null
+++ b/src/samphirespring/platform/announcements.py
@@ -0,0 +1,154 @@
+"""Heartbeats of the target on this host, and the platform's question whether the node is ready."""
+
+from typing import Annotated
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from samphirespring.connection.http_json import convert_errors, read_body, respond_json
+from samphirespring.connection.local_http import AnnouncementInvalidError
+from samphirespring.platform.units import parse_seconds
+from samphirespring.process.agent_messages import (
+    AgentMessage,
+    Announcement,
+    AnnouncementReceipt,
+    AnnounceTarget,
+    WithdrawTarget,
+)
+from samphirespring.process.ids import TargetId
+from samphirespring.process.mailbox import Mailbox, ask
+from samphirespring.process.node_readiness import NodeReadiness
+from samphirespring.process.states import TargetPhase
+from samphirespring.version.ids import ServiceName
+
+HEARTBEAT_BYTES = 16_384
+"""Largest body of a heartbeat, in bytes."""
+
+PHASES = {"ready": TargetPhase.SERVING, "draining": TargetPhase.DRAINING}
+
+
+class _Info(msgspec.Struct, frozen=True, kw_only=True):
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+
+
+class _Status(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
+    state: str
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    cold_remaining: str = "0ms"
+
+
+class _Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+    address: str
+    info: _Info
+    status: _Status
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class _Departure(msgspec.Struct, frozen=True, kw_only=True):
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class _Receipt(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a heartbeat; later ones come to the same address."""
+
+
+class AnnouncementApp:
+    """Turns heartbeats into announcements.
+
+    Args:
+        agent: Inbox of the agent.
+        readiness: Tells whether the node is ready.
+        target_address: `IP:port` of the target on this host; others aren't reached from here.
+    """
+
+    def __init__(
+        self, agent: Mailbox[AgentMessage], *, readiness: NodeReadiness, target_address: str
+    ) -> None:
+        self._agent = agent
+        self._readiness = readiness
+        self._target_address = target_address
+
+    def make_app(self) -> Starlette:
+        """Return the ASGI application."""
+        target = "/api/instances/{target}"
+        return Starlette(
+            routes=[
+                Route(f"{target}/heartbeat", convert_errors(self._announce), methods=["POST"]),
+                Route(f"{target}/deregister", convert_errors(self._withdraw), methods=["POST"]),
+                Route("/api/readiness", convert_errors(self._read_readiness), methods=["GET"]),
+            ]
+        )
+
+    async def _announce(self, request: Request) -> Response:
+        target = TargetId(request.path_params["target"])
+        body = await read_body(request.stream(), limit_bytes=HEARTBEAT_BYTES)
+        announcement = translate_heartbeat(body)
+        if announcement.address != self._target_address:
+            raise AnnouncementInvalidError(f"{announcement.address} isn't on this host")
+        receipt: AnnouncementReceipt = await ask(
+            self._agent,
+            lambda reply: AnnounceTarget(target=target, announcement=announcement, reply=reply),
+        )
+        del receipt
+        return respond_json(_Receipt())
+
+    async def _withdraw(self, request: Request) -> Response:
+        target = TargetId(request.path_params["target"])
+        body = await read_body(request.stream(), limit_bytes=HEARTBEAT_BYTES)
+        started_ms = read_start_ms(body)
+        known: bool = await ask(
+            self._agent,
+            lambda reply: WithdrawTarget(target=target, started_ms=started_ms, reply=reply),
+        )
+        del known
+        return respond_json(_Receipt())
+
+    async def _read_readiness(self, request: Request) -> Response:
+        return Response(status_code=200 if self._readiness.is_ready else 503)
+
+
+def translate_heartbeat(body: bytes) -> Announcement:
+    """Return what a heartbeat says, in the project's terms.
+
+    Args:
+        body: The JSON text.
+
+    Raises:
+        AnnouncementInvalidError: A field is missing, of another type or unknown.
+    """
+    try:
+        beat = msgspec.json.decode(body, type=_Heartbeat)
+        return Announcement(
+            service=ServiceName(beat.info.service),
+            address=beat.address,
+            phase=PHASES[beat.status.state],
+            slots=beat.info.slots,
+            started_ms=beat.born,
+            sequence=beat.status.sequence,
+            cold_s=parse_seconds(beat.status.cold_remaining),
+        )
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+        raise AnnouncementInvalidError(str(error)) from None
+    except KeyError as error:
+        raise AnnouncementInvalidError(f"unknown state {error}") from None
+
+
+def read_start_ms(body: bytes) -> int:
+    """Return the start of the target that leaves, in milliseconds of wall time; 0 if it isn't said.
+
+    Args:
+        body: The JSON text, which may be empty.
+
+    Raises:
+        AnnouncementInvalidError: The text can't be read.
+    """
+    if not body:
+        return 0
+    try:
+        return msgspec.json.decode(body, type=_Departure).born
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise AnnouncementInvalidError(str(error)) from None
--- /dev/null
+++ b/src/samphirespring/platform/backend_dialect.py
@@ -0,0 +1,66 @@
+"""Requests and answers on the connection to a target of the platform."""
+
+from samphirespring.connection.backend_dialect import BackendDialect, HttpHeaders
+from samphirespring.connection.http_headers import find_header
+from samphirespring.connection.refusals import RefusalReader, TypedRefusal
+from samphirespring.platform.headers import DEADLINE_MS, NOT_EXECUTED, REQUEST_ID, SEAL, TARGET_ID
+from samphirespring.request.messages import AnswerHead, AttemptRequest
+from samphirespring.request.states import RefusalCode
+
+REPLACED_HEADERS = frozenset({DEADLINE_MS, TARGET_ID, b"content-length", b"expect"})
+"""Headers of the client that the agent sets itself."""
+
+MISDIRECTED = 421
+SUCCESSES = range(200, 300)
+MAX_HINT_DIGITS = 6
+
+
+class PlatformBackendDialect(BackendDialect):
+    """The platform's headers; refusals are told by a header or by status 421."""
+
+    def make_headers(self, request: AttemptRequest) -> HttpHeaders:
+        """Return the headers of an attempt."""
+        headers = [
+            (header.name, header.value)
+            for header in request.headers
+            if header.name not in REPLACED_HEADERS
+        ]
+        headers.append((DEADLINE_MS, str(request.remaining_ms).encode()))
+        headers.append((TARGET_ID, request.target.encode()))
+        return headers
+
+    def belongs_to(self, head: AnswerHead, request: AttemptRequest) -> bool:
+        """Return whether the answer echoes the request's id; a success must, with a seal."""
+        echoed = find_header(head.headers, REQUEST_ID)
+        if echoed is not None and echoed != request.request.encode():
+            return False
+        if head.status not in SUCCESSES:
+            return True
+        if find_header(head.headers, b"content-encoding") is not None:
+            return False
+        return echoed is not None and find_header(head.headers, SEAL) is not None
+
+    def make_refusal_reader(self) -> RefusalReader:
+        """Return a reader of the refusal header."""
+        return _HeaderRefusalReader()
+
+
+class _HeaderRefusalReader(RefusalReader):
+    """Recognises a refusal by its head alone."""
+
+    def __init__(self) -> None:
+        self._refusal: TypedRefusal | None = None
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Take status and headers."""
+        if head.status == MISDIRECTED:
+            self._refusal = TypedRefusal(code=RefusalCode.UNKNOWN_TARGET, retry_after_ms=None)
+        elif find_header(head.headers, NOT_EXECUTED) is not None:
+            self._refusal = TypedRefusal(code=RefusalCode.SHEDDING, retry_after_ms=None)
+
+    def take_chunk(self, data: bytes) -> None:
+        """Take part of the body, which says nothing."""
+
+    def read(self) -> TypedRefusal | None:
+        """Return the refusal, or None if the answer isn't one."""
+        return self._refusal
--- /dev/null
+++ b/src/samphirespring/platform/caller_dialect.py
@@ -0,0 +1,93 @@
+"""Clients' requests and answers on the platform."""
+
+import uuid
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from samphirespring.connection.caller_dialect import (
+    CallerDialect,
+    HttpAnswerHead,
+    read_address,
+    read_deadline_ms,
+    read_host,
+    read_target,
+)
+from samphirespring.connection.http_headers import select_end_to_end
+from samphirespring.connection.problems import PROBLEM_CONTENT_TYPE
+from samphirespring.platform.headers import CALLER_SERVICE, DEADLINE_MS, REQUEST_ID, SEAL
+from samphirespring.process.errors import SamphireError
+from samphirespring.request.caller import AnswerFacts, CallerRequest
+from samphirespring.request.errors import RequestError
+from samphirespring.request.ids import RequestId
+from samphirespring.request.messages import Header
+from samphirespring.request.states import Outcome
+from samphirespring.version.ids import NO_WORKSPACE, ServiceName
+from samphirespring.version.routes import CompiledDocument
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a client that its request didn't and won't run."""
+
+BAD_GATEWAY = 502
+
+
+class PlatformCallerDialect(CallerDialect):
+    """The platform's headers; a status promises "not run" only where that is proved.
+
+    Args:
+        service: Service of the target on this host, where all its requests come from.
+    """
+
+    def __init__(self, service: ServiceName) -> None:
+        self._service = service
+
+    def read_request_id(self, headers: Iterable[tuple[bytes, bytes]]) -> RequestId:
+        """Return the id that the client gave, or a new one."""
+        for name, value in headers:
+            if name == REQUEST_ID:
+                return RequestId(value.decode("latin-1"))
+        return RequestId(uuid.uuid4().hex)
+
+    def make_request(
+        self, request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
+    ) -> CallerRequest:
+        """Return a request in the front's terms."""
+        headers = select_end_to_end(scope["headers"])
+        passed_on = tuple(header for header in headers if header.name != CALLER_SERVICE)
+        return CallerRequest(
+            request=request_id,
+            method=scope["method"],
+            host=read_host(headers),
+            path=scope["path"],
+            target=read_target(scope),
+            headers=(*passed_on, Header(CALLER_SERVICE, self._service.encode())),
+            body=body,
+            deadline_ms=read_deadline_ms(headers, DEADLINE_MS),
+            address=read_address(scope),
+            workspace=NO_WORKSPACE,
+            key=None,
+        )
+
+    def make_head(
+        self, status: int, headers: Sequence[Header], facts: AnswerFacts
+    ) -> HttpAnswerHead:
+        """Return a target's answer unchanged, unless its status would promise what isn't proved."""
+        if status not in NOT_RUN_STATUSES:
+            return HttpAnswerHead(status=status, headers=tuple(headers))
+        kept = tuple(header for header in headers if header.name != SEAL)
+        return HttpAnswerHead(status=BAD_GATEWAY, headers=kept)
+
+    def make_error(
+        self, error: SamphireError, status: int, request_id: RequestId, *, body_length: int
+    ) -> HttpAnswerHead:
+        """Return the head of a problem report."""
+        headers = [
+            Header(b"content-type", PROBLEM_CONTENT_TYPE),
+            Header(b"content-length", str(body_length).encode()),
+            Header(REQUEST_ID, request_id.encode("latin-1")),
+        ]
+        is_proved = isinstance(error, RequestError) and error.outcome is Outcome.NOT_RUN
+        if status in NOT_RUN_STATUSES and not is_proved:
+            status = BAD_GATEWAY
+        if isinstance(error, RequestError) and error.retry_after_s is not None:
+            headers.append(Header(b"retry-after", str(error.retry_after_s).encode()))
+        return HttpAnswerHead(status=status, headers=tuple(headers))
--- /dev/null
+++ b/src/samphirespring/platform/configuration.py
@@ -0,0 +1,195 @@
+"""The operator's configuration, translated into the sections of a document."""
+
+from typing import Annotated, Any
+
+import msgspec
+
+from samphirespring.platform.units import parse_ms
+from samphirespring.version.document import (
+    FLEET_SECTION,
+    CallerConnectionPolicy,
+    DetectionPolicy,
+    FleetSection,
+    RetryPolicy,
+    RoutePolicy,
+    ServicePolicy,
+    TeamSection,
+)
+from samphirespring.version.ids import Revision, SectionName, ServiceName
+from samphirespring.version.parser import DocumentInvalidError
+from samphirespring.version.states import DetectionMode, PriorityClass
+
+OPERATOR_SECTION = SectionName("operator")
+"""Section that holds the operator's routes and services."""
+
+IDEMPOTENT_KINDS = {"safe": True, "unsafe": False}
+
+
+class ServiceTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """What the deployment says of all services.
+
+    Attributes:
+        floor: Least share of a service's capacity that ejection leaves.
+        retry_share: Additional attempts allowed per request.
+        retry_floor: Additional attempts of all fronts in a window beyond that share.
+        retry_window_s: Length of the window, in seconds.
+    """
+
+    floor: float = 0.7
+    retry_share: float = 0.1
+    retry_floor: float = 12.0
+    retry_window_s: float = 60.0
+
+
+class Submission(msgspec.Struct, frozen=True, kw_only=True):
+    """A configuration in the project's terms."""
+
+    revision: Revision
+    sections: dict[SectionName, bytes]
+
+
+class _Part(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
+    """Base of the parts; unknown fields are ignored."""
+
+
+class _WeightedService(_Part, frozen=True, kw_only=True):
+    service: ServiceName
+    weight: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _RouteSpec(_Part, frozen=True, kw_only=True):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout: str
+    """Longest time that a request is kept waiting."""
+
+    aim: str = "0ms"
+    """Time within which an answer is worth most."""
+
+    priority: int = 0
+    """0 goes first."""
+
+    service: ServiceName | None = None
+    traffic_split: tuple[_WeightedService, ...] = ()
+    max_attempts: int
+
+
+class _ServiceSpec(_Part, frozen=True, kw_only=True):
+    """Its fields concern connections that the agents bound by slots."""
+
+
+class _LimitsSpec(_Part, frozen=True, kw_only=True):
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout: str | None = None
+    idle_timeout: str | None = None
+
+
+class _Metadata(_Part, frozen=True, kw_only=True):
+    name: str = ""
+
+
+class _Resource(_Part, frozen=True, kw_only=True):
+    type: str
+    metadata: _Metadata = _Metadata()
+    spec: msgspec.Raw
+
+
+class _Configuration(_Part, frozen=True, kw_only=True):
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    resources: tuple[_Resource, ...]
+
+
+def translate_configuration(text: bytes, *, terms: ServiceTerms) -> Submission:
+    """Return a configuration in the project's terms.
+
+    Args:
+        text: The operator's JSON text.
+        terms: What the deployment says of all services.
+
+    Raises:
+        DocumentInvalidError: The text can't be read, or a field is invalid.
+    """
+    try:
+        configuration = msgspec.json.decode(text, type=_Configuration)
+        return Submission(
+            revision=Revision(configuration.version),
+            sections=_make_sections(configuration, terms),
+        )
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, RecursionError) as error:
+        raise DocumentInvalidError((str(error),)) from None
+
+
+def _make_sections(configuration: _Configuration, terms: ServiceTerms) -> dict[SectionName, bytes]:
+    routes: list[RoutePolicy] = []
+    services: dict[ServiceName, ServicePolicy] = {}
+    connections = CallerConnectionPolicy()
+    for resource in configuration.resources:
+        match resource.type:
+            case "routes":
+                routes.append(_make_route(msgspec.json.decode(resource.spec, type=_RouteSpec)))
+            case "services":
+                msgspec.json.decode(resource.spec, type=_ServiceSpec)
+                services[ServiceName(resource.metadata.name)] = _make_service(terms)
+            case "limits":
+                connections = _make_limits(msgspec.json.decode(resource.spec, type=_LimitsSpec))
+            case _:
+                raise ValueError(f"unknown type of a resource `{resource.type}`")
+    fleet = FleetSection(caller_connections=connections, ledger_groups=0)
+    team = TeamSection(services=services, routes=tuple(routes))
+    return {FLEET_SECTION: _encode(fleet), OPERATOR_SECTION: _encode(team)}
+
+
+def _make_route(spec: _RouteSpec) -> RoutePolicy:
+    if spec.kind not in IDEMPOTENT_KINDS:
+        raise ValueError(f"unknown kind of a route `{spec.kind}`")
+    idempotent = IDEMPOTENT_KINDS[spec.kind]
+    split = {part.service: part.weight for part in spec.traffic_split if part.weight > 0}
+    service = spec.service
+    if service is None:
+        service = next(iter(split), None)
+    if service is None:
+        raise ValueError("a route names no service")
+    timeout_ms = parse_ms(spec.timeout)
+    return RoutePolicy(
+        host=spec.host,
+        path_prefix=spec.path_prefix,
+        service=service,
+        split=split,
+        idempotent=idempotent,
+        priority=PriorityClass.INTERACTIVE if idempotent else PriorityClass.ACTION,
+        rank=spec.priority,
+        aim_ms=parse_ms(spec.aim),
+        deadline_ms=timeout_ms,
+        retry=RetryPolicy(max_attempts=spec.max_attempts, capacity_wait_ms=timeout_ms),
+    )
+
+
+def _make_service(terms: ServiceTerms) -> ServicePolicy:
+    return ServicePolicy(
+        floor=terms.floor,
+        detection=DetectionPolicy(mode=DetectionMode.FAST),
+        retry_share=terms.retry_share,
+        retry_floor=terms.retry_floor,
+        retry_window_s=terms.retry_window_s,
+        slow_start_s=3.0,
+    )
+
+
+def _make_limits(spec: _LimitsSpec) -> CallerConnectionPolicy:
+    default = CallerConnectionPolicy()
+    return CallerConnectionPolicy(
+        header_bytes=spec.max_header_bytes or default.header_bytes,
+        body_bytes=spec.max_body_bytes or default.body_bytes,
+        header_timeout_ms=_read_ms(spec.header_timeout, default.header_timeout_ms),
+        idle_timeout_ms=_read_ms(spec.idle_timeout, default.idle_timeout_ms),
+    )
+
+
+def _read_ms(text: str | None, default_ms: int) -> int:
+    return default_ms if text is None else parse_ms(text)
+
+
+def _encode(section: Any) -> bytes:
+    return msgspec.json.encode(section)
--- /dev/null
+++ b/src/samphirespring/platform/control.py
@@ -0,0 +1,20 @@
+"""`samphire-control` on the platform."""
+
+from samphirespring.platform.edge import PlatformControlEdge
+from samphirespring.platform.settings import CoreSettings, load_host_settings
+from samphirespring.process.logs import configure_logs
+from samphirespring.process.programs.control import Control
+from samphirespring.process.runtime import run_program
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_host_settings(CoreSettings)
+    control_settings = settings.make_control_settings()
+    configure_logs(control_settings.log.level)
+    control = Control(control_settings, {}, PlatformControlEdge(settings))
+    run_program(control.run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/samphirespring/platform/operator_http.py
@@ -0,0 +1,127 @@
+"""The operator's calls on a control host: submit a configuration, read the newest one."""
+
+from collections.abc import Awaitable, Callable
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from samphirespring.connection.http_json import JsonBodyInvalidError, read_body
+from samphirespring.connection.problems import (
+    PROBLEM_CONTENT_TYPE,
+    encode_problem,
+    make_problem,
+)
+from samphirespring.platform.configuration import ServiceTerms, translate_configuration
+from samphirespring.platform.headers import BASE_REVISION
+from samphirespring.process.addresses import parse_address
+from samphirespring.process.document.errors import RevisionConflictError
+from samphirespring.process.document.service import DocumentService
+from samphirespring.process.errors import InternalError, SamphireError
+from samphirespring.process.event_log import EventLog
+from samphirespring.process.log_events import LogEvent
+from samphirespring.process.replication.state_machine import NotLeaderError
+from samphirespring.version.ids import Revision
+from samphirespring.version.parser import DocumentInvalidError
+
+CONFIGURATION_BYTES = 16 << 20
+"""Largest configuration, in bytes."""
+
+MAX_DIGITS = 18
+BAD_REQUEST = 400
+CONFLICT = 412
+REDIRECT = 307
+UNAVAILABLE = 503
+
+Endpoint = Callable[[Request], Awaitable[Response]]
+
+_log = EventLog()
+
+
+class ConfigurationApp:
+    """Serves the operator; whoever reaches the address may change the configuration.
+
+    Args:
+        documents: The document.
+        terms: What the deployment says of all services.
+        operator_port: Port of the operator's calls, the same on all control hosts.
+    """
+
+    def __init__(
+        self, documents: DocumentService, *, terms: ServiceTerms, operator_port: int
+    ) -> None:
+        self._documents = documents
+        self._terms = terms
+        self._operator_port = operator_port
+
+    def make_app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/api/config/replace", self._convert(self._replace), methods=["POST"]),
+                Route("/api/config/read", self._convert(self._read), methods=["GET"]),
+            ]
+        )
+
+    async def _replace(self, request: Request) -> Response:
+        text = await read_body(request.stream(), limit_bytes=CONFIGURATION_BYTES)
+        submission = translate_configuration(text, terms=self._terms)
+        await self._documents.replace(
+            base=_read_base(request),
+            revision=submission.revision,
+            submitted=text,
+            sections=submission.sections,
+        )
+        return Response(b"{}", media_type="application/json")
+
+    async def _read(self, request: Request) -> Response:
+        text = await self._documents.read_submitted()
+        if text is None:
+            return Response(status_code=UNAVAILABLE)
+        return Response(text, media_type="application/json")
+
+    def _convert(self, endpoint: Endpoint) -> Endpoint:
+        async def serve(request: Request) -> Response:
+            try:
+                return await endpoint(request)
+            except NotLeaderError as error:
+                return self._redirect(request, error)
+            except SamphireError as error:
+                _log.info(
+                    LogEvent.DOCUMENT_NOT_REPLACED, code=error.code.value, detail=error.detail
+                )
+                return _respond_problem(error, _find_status(error))
+            except Exception:
+                _log.exception(LogEvent.ENDPOINT_FAILED, path=request.url.path)
+                return _respond_problem(InternalError("internal error"), UNAVAILABLE)
+
+        return serve
+
+    def _redirect(self, request: Request, error: NotLeaderError) -> Response:
+        if error.leader is None:
+            return _respond_problem(error, UNAVAILABLE)
+        # Control hosts that are found by discovery are named by their link addresses.
+        host = parse_address(error.leader).host
+        location = f"http://{host}:{self._operator_port}{request.url.path}"
+        return Response(status_code=REDIRECT, headers={"location": location})
+
+
+def _read_base(request: Request) -> Revision:
+    text = request.headers.get(BASE_REVISION.decode(), "")
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        raise JsonBodyInvalidError("the base revision isn't a whole number")
+    return Revision(int(text))
+
+
+def _find_status(error: SamphireError) -> int:
+    if isinstance(error, RevisionConflictError):
+        return CONFLICT
+    if isinstance(error, DocumentInvalidError | JsonBodyInvalidError):
+        return BAD_REQUEST
+    return UNAVAILABLE
+
+
+def _respond_problem(error: SamphireError, status: int) -> Response:
+    body = encode_problem(make_problem(error, status=status, request=None))
+    return Response(body, status_code=status, media_type=PROBLEM_CONTENT_TYPE.decode())
--- /dev/null
+++ b/src/samphirespring/platform/settings.py
@@ -0,0 +1,180 @@
+"""Settings as the templates under `deploy/` render them, and their translation."""
+
+import os
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from samphirespring.platform.units import parse_seconds
+from samphirespring.process.addresses import parse_address
+from samphirespring.process.ids import FailureDomainName, HostId, RegionName, ReplicaId
+from samphirespring.process.settings import (
+    CallerLimits,
+    ControlSettings,
+    DiscoverySettings,
+    LocalitySettings,
+    NodeSettings,
+    SettingsInvalidError,
+    exit_on_invalid_settings,
+)
+from samphirespring.version.ids import ServiceName
+
+SETTINGS_VARIABLE = "SAMPHIRESPRING_CONFIG"
+"""Environment variable that names the settings file."""
+
+BODY_BYTES = 64 << 20
+"""Largest body of a request; the configuration states the same, in bytes."""
+
+LISTEN_SHARE = 0.45
+"""Part of the time between SIGTERM and SIGKILL in which new requests are still taken."""
+
+FINISH_SHARE = 0.4
+"""Part of that time in which requests in flight may end after it."""
+
+DOCUMENT_WAIT_S = 10.0
+REPORT_INTERVAL_S = 1.0
+
+SettingsT = TypeVar("SettingsT", bound="HostSettings")
+
+
+class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What every process is told; fields that are added later are ignored."""
+
+    host: HostId
+    failure_domain: FailureDomainName
+    region: RegionName
+    address: str
+    """IP address of the host."""
+
+    link_port: int
+    """Port of links between the system's processes, the same on all hosts."""
+
+    metrics_port: int
+    """Port of the metrics."""
+
+    seeds: tuple[str, ...]
+    """`IP:port` for operators of some control hosts."""
+
+    bounds: dict[str, str | float | bool] = {}
+    """Bounds that hold for the deployment, by name; times are texts with a unit."""
+
+    @property
+    def link_address(self) -> str:
+        """`IP:port` where other processes reach this one."""
+        return f"{self.address}:{self.link_port}"
+
+    @property
+    def metrics_address(self) -> str:
+        """`IP:port` of the metrics."""
+        return f"{self.address}:{self.metrics_port}"
+
+    @property
+    def seed_links(self) -> tuple[str, ...]:
+        """Link addresses of the seeds: all hosts use the same port."""
+        return tuple(sorted(f"{parse_address(seed).host}:{self.link_port}" for seed in self.seeds))
+
+    @property
+    def locality(self) -> LocalitySettings:
+        """Where the process stands."""
+        return LocalitySettings(
+            region=self.region, failure_domain=self.failure_domain, host=self.host
+        )
+
+    def read_grace_s(self) -> float:
+        """Return the time between SIGTERM and SIGKILL, in seconds."""
+        return parse_seconds(str(self.bounds.get("grace", "6s")))
+
+
+class SidecarSettings(HostSettings, frozen=True, kw_only=True):
+    """Settings of a node."""
+
+    caller_listen: str
+    announcement_listen: str
+    readiness_listen: str
+    target_address: str
+    """`IP:port` of the target on this host."""
+
+    service: ServiceName
+    """Service of that target, which is where requests of this host come from."""
+
+    def make_node_settings(self) -> NodeSettings:
+        """Return the node's settings in the project's terms."""
+        grace_s = self.read_grace_s()
+        return NodeSettings(
+            locality=self.locality,
+            caller_listen=self.caller_listen,
+            link_listen=self.link_address,
+            local_listen=self.announcement_listen,
+            control_links=self.seed_links,
+            report_interval_s=REPORT_INTERVAL_S,
+            document_wait_s=DOCUMENT_WAIT_S,
+            drain_grace_s=grace_s * LISTEN_SHARE,
+            drain_timeout_s=grace_s * FINISH_SHARE,
+            limits=CallerLimits(body_bytes=BODY_BYTES),
+        )
+
+
+class CoreSettings(HostSettings, frozen=True, kw_only=True):
+    """Settings of a control host."""
+
+    operator_listen: str
+    data_folder: str
+    first_start: bool
+    tolerated_losses: int = 2
+    """Control hosts that may be lost at once."""
+
+    @property
+    def operator_port(self) -> int:
+        """Port for operators, the same on all control hosts."""
+        return parse_address(self.operator_listen).port
+
+    def make_control_settings(self) -> ControlSettings:
+        """Return the control host's settings in the project's terms."""
+        return ControlSettings(
+            locality=self.locality,
+            replica=ReplicaId(self.link_address),
+            link_listen=self.link_address,
+            operator_listen=self.operator_listen,
+            discovery=DiscoverySettings(
+                seeds=self.seed_links,
+                first_start=self.first_start,
+                voters=2 * self.tolerated_losses + 1,
+            ),
+            data_folder=self.data_folder,
+        )
+
+
+def find_settings_file() -> Path:
+    """Return the path of the settings file, which the environment names."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, ""))
+
+
+def read_host_settings(path: Path, settings_type: type[SettingsT]) -> SettingsT:
+    """Return the settings of a process.
+
+    Args:
+        path: The rendered settings file.
+        settings_type: Their type.
+
+    Raises:
+        SettingsInvalidError: The file can't be read, or a field is invalid.
+    """
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=settings_type)
+    except OSError as error:
+        raise SettingsInvalidError(f"{path}: {error.strerror}") from None
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise SettingsInvalidError(f"{path}: {error}") from None
+
+
+def load_host_settings(settings_type: type[SettingsT]) -> SettingsT:
+    """Return the settings of this process, or end the program with the status for invalid ones.
+
+    Args:
+        settings_type: Their type.
+    """
+    try:
+        return read_host_settings(find_settings_file(), settings_type)
+    except SettingsInvalidError as error:
+        exit_on_invalid_settings(error)
--- /dev/null
+++ b/src/samphirespring/platform/units.py
@@ -0,0 +1,33 @@
+"""Times as the platform writes them."""
+
+import re
+
+DURATION = re.compile(r"^([0-9]+(?:\.[0-9]+)?)(ms|s)$")
+UNIT_MS = {"ms": 1.0, "s": 1_000.0}
+
+
+def parse_ms(text: str) -> int:
+    """Return a duration in milliseconds.
+
+    Args:
+        text: A number with the unit `ms` or `s`.
+
+    Raises:
+        ValueError: The text is no duration.
+    """
+    match = DURATION.match(text)
+    if match is None:
+        raise ValueError(f"`{text}` is no duration")
+    return round(float(match[1]) * UNIT_MS[match[2]])
+
+
+def parse_seconds(text: str) -> float:
+    """Return a duration in seconds.
+
+    Args:
+        text: A number with the unit `ms` or `s`.
+
+    Raises:
+        ValueError: The text is no duration.
+    """
+    return parse_ms(text) / 1_000
--- a/src/samphirespring/process/admission_queue.py
+++ b/src/samphirespring/process/admission_queue.py
@@ -1,5 +1,6 @@
 """Attempts that wait for a slot of one target."""
 
+from bisect import insort
 from dataclasses import dataclass
 
 from samphirespring.process.mailbox import ReplySlot
@@ -62,7 +63,10 @@
 
 
 class AdmissionQueue:
-    """Bounded queue: interactive reads and actions go before helpers, which are shed first."""
+    """Bounded queue: interactive reads and actions go before helpers, which are shed first.
+
+    Among the former, lower ranks go first; of equal ones, those that came first.
+    """
 
     def __init__(self) -> None:
         self._urgent: list[Waiter] = []
@@ -85,7 +89,7 @@
             return None
         if len(self) >= capacity and not self._shed_helper():
             return RefusalCode.NO_SLOT
-        self._urgent.append(waiter)
+        insort(self._urgent, waiter, key=lambda other: other.request.rank)
         return None
 
     def take_next(self, *, now_s: float) -> Waiter | None:
--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -9,6 +9,7 @@
     AdmitAttempt,
     AgentDump,
     AgentMessage,
+    Announcement,
     AnnouncementReceipt,
     AnnounceTarget,
     DrainHost,
@@ -22,6 +23,7 @@
     UsePolicies,
     WithdrawTarget,
 )
+from samphirespring.process.announcement_order import AnnouncementOrder
 from samphirespring.process.condition_watch import ConditionWatch
 from samphirespring.process.detection.local_judge import LocalJudge
 from samphirespring.process.detection.observations import Observation
@@ -81,6 +83,7 @@
         self._draining = False
         self._operator_drain = OperatorDrain()
         self._record: HostRecord | None = None
+        self._order = AnnouncementOrder()
 
     @property
     def name(self) -> str:
@@ -114,7 +117,7 @@
             case AnnounceTarget():
                 message.reply.reply(self._announce(message))
             case WithdrawTarget():
-                message.reply.reply(self._withdraw(message.target))
+                message.reply.reply(self._withdraw(message))
             case ReportHost():
                 message.reply.reply(self._make_record())
             case DrainHost():
@@ -255,28 +258,43 @@
         )
 
     def _announce(self, message: AnnounceTarget) -> AnnouncementReceipt:
-        slots = self._policies.find_slots(message.announcement)
+        if self._order.take(message.target, message.announcement):
+            self._take_announcement(message.target, message.announcement)
+        return AnnouncementReceipt(
+            target=message.target, incarnation=self.incarnation, lease_s=self._lease_s
+        )
+
+    def _take_announcement(self, target_id: TargetId, announcement: Announcement) -> None:
+        slots = self._policies.find_slots(announcement)
         now_s = self._timers.read_now_s()
         expires_s = now_s + self._lease_s
-        target = self._targets.get(message.target)
+        target = self._targets.get(target_id)
         if target is None:
-            judge = LocalJudge(now_s=now_s)
-            judge.health.start_cold(now_s)
-            self._targets[message.target] = LocalTarget(
-                target=message.target,
-                announcement=message.announcement,
+            self._withdraw_predecessors(announcement)
+            target = LocalTarget(
+                target=target_id,
+                announcement=announcement,
                 slots=slots,
                 expires_s=expires_s,
-                judge=judge,
+                judge=LocalJudge(now_s=now_s),
             )
+            target.start_cold(announcement, now_s)
+            self._targets[target_id] = target
         else:
-            target.renew(message.announcement, slots=slots, expires_s=expires_s, now_s=now_s)
-        return AnnouncementReceipt(
-            target=message.target, incarnation=self.incarnation, lease_s=self._lease_s
-        )
-
-    def _withdraw(self, target_id: TargetId) -> bool:
-        target = self._targets.get(target_id)
+            target.renew(announcement, slots=slots, expires_s=expires_s, now_s=now_s)
+
+    def _withdraw_predecessors(self, announcement: Announcement) -> None:
+        """Take out targets that had the address of a backend server that started later."""
+        for target in tuple(self._targets.values()):
+            known = target.announcement
+            if known.address == announcement.address and known.started_ms < announcement.started_ms:
+                target.withdraw()
+                self._forget_if_gone(target)
+
+    def _withdraw(self, message: WithdrawTarget) -> bool:
+        if not self._order.withdraw(message.target, started_ms=message.started_ms):
+            return False
+        target = self._targets.get(message.target)
         if target is None:
             return False
         target.withdraw()
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent_messages.py
@@ -36,6 +36,15 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)] | None = None
     """Requests that the target runs at the same time; None takes the service's policy."""
 
+    started_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Start of the backend server, in milliseconds of wall time; a later start goes first."""
+
+    sequence: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Number of the announcement since that start; lower ones that come later are ignored."""
+
+    cold_s: Annotated[float, msgspec.Meta(ge=0.0)] | None = None
+    """How long the target stays slow after its start, in seconds; None if it doesn't say."""
+
     health_path: Annotated[str, msgspec.Meta(pattern=HEALTH_PATH, max_length=1_000)] | None = None
     """Path of the target's health endpoint; None has the target not probed."""
 
@@ -63,6 +72,9 @@
     """Takes a target out; requests in flight go on."""
 
     target: TargetId
+    started_ms: int = 0
+    """Start of the backend server that leaves, in milliseconds of wall time; 0 for any."""
+
     reply: ReplySlot[bool]
     """Whether the target was known."""
 
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectSendStream
 
+from samphirespring.connection.backend_dialect import BackendDialect
 from samphirespring.connection.upstream import Upstream
 from samphirespring.connection.upstream_pool import UpstreamPool
 from samphirespring.process.action_guard import GuardMessage, StartAction
@@ -67,6 +68,7 @@
         guard: Inbox of the action guard, which lets actions start.
         timers: The timer service.
         upstream: Sends attempts; None sends them over connections of the runner's own.
+        dialect: How requests and answers look to backend servers; None for the project's own.
     """
 
     def __init__(
@@ -76,13 +78,14 @@
         guard: Mailbox[GuardMessage],
         timers: TimerService,
         upstream: Upstream | None = None,
+        dialect: BackendDialect | None = None,
     ) -> None:
         self.inbox: Mailbox[StartAttempt] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._agent = agent
         self._guard = guard
         self._timers = timers
         self._pool = UpstreamPool()
-        self._upstream = upstream or Upstream(self._pool)
+        self._upstream = upstream or Upstream(self._pool, dialect)
         self._stalls = StallWatch(agent=agent, timers=timers)
         self._running = 0
 
@@ -149,14 +152,21 @@
             if isinstance(admission, AttemptRefused):
                 await batcher.finish(admission)
                 return
+            if message.running.cancel_called:
+                # The front left while the attempt waited for its slot.
+                await self._finish(message.request, outcome=None, latency_s=0.0)
+                return
             with self._count_running():
                 await self._run_admitted(message, admission, batcher, deadline_s=deadline_s)
 
     async def _find_reason_against(
         self, request: AttemptRequest, admission: Admission | AttemptRefused
     ) -> AttemptRefused | AttemptFailed | None:
-        """Return why an action must not start, and give its slot back, or None."""
-        if request.idempotent:
+        """Return why an action must not start, and give its slot back, or None.
+
+        An action without a key has one front that dispatches it once: nothing is to be guarded.
+        """
+        if request.idempotent or request.key is None:
             return None
         refusal = admission if isinstance(admission, AttemptRefused) else None
         against: AttemptRefused | AttemptFailed | None = await ask(
@@ -224,7 +234,7 @@
             stalled=wait.has_stalled,
         )
         end = execution.make_end(load)
-        if not request.idempotent:
+        if not request.idempotent and request.key is not None:
             self._guard.post(execution.make_note(end))
         if not isinstance(end, AnswerEnd):
             batcher.discard()
--- a/src/samphirespring/process/control_client.py
+++ b/src/samphirespring/process/control_client.py
@@ -24,8 +24,8 @@
 
     def __init__(self, pool: LinkPool, addresses: Sequence[str]) -> None:
         self._pool = pool
-        self._addresses = tuple(addresses)
-        self._preferred = 0
+        self._addresses = addresses
+        self._preferred: str | None = None
 
     async def call(self, method: UnaryMethod[RequestT, ReplyT], request: RequestT) -> ReplyT:
         """Return the reply of the first control host that gives one.
@@ -37,12 +37,21 @@
         Raises:
             LinkUnavailableError: No control host gave a reply.
         """
-        for _ in self._addresses:
-            address = self._addresses[self._preferred]
+        for address in self._list_in_order():
             try:
                 with self._pool.use(address) as link:
-                    return await link.call(method, request, timeout_s=CALL_TIMEOUT_S)
+                    reply = await link.call(method, request, timeout_s=CALL_TIMEOUT_S)
             except SamphireError as error:
                 _log.debug(LogEvent.CONTROL_CALL_FAILED, address=address, code=error.code.value)
-                self._preferred = (self._preferred + 1) % len(self._addresses)
+                continue
+            self._preferred = address
+            return reply
         raise LinkUnavailableError("no control host answers", sent=True)
+
+    def _list_in_order(self) -> tuple[str, ...]:
+        """Return all addresses, beginning with the one that answered last."""
+        addresses = tuple(self._addresses)
+        if self._preferred not in addresses:
+            return addresses
+        start = addresses.index(self._preferred)
+        return (*addresses[start:], *addresses[:start])
--- a/src/samphirespring/process/control_groups.py
+++ b/src/samphirespring/process/control_groups.py
@@ -10,7 +10,7 @@
 """
 
 import ssl
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from random import SystemRandom
 from types import MappingProxyType
@@ -25,6 +25,7 @@
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.metrics import Metrics
 from samphirespring.process.replication.context import GroupLimits, ReplicationContext
+from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.disk import Disk, FolderDisk
 from samphirespring.process.replication.group import ReplicatedGroup, find_folder
 from samphirespring.process.replication.state_machine import (
@@ -36,7 +37,7 @@
 from samphirespring.process.replication.timing import ReplicaTiming
 from samphirespring.process.replication.transport import ReplicationTransport
 from samphirespring.process.replication.witness import GroupWitness
-from samphirespring.process.settings import ControlSettings
+from samphirespring.process.settings import ControlSettings, DiscoverySettings
 from samphirespring.process.states import ReplicaRole
 from samphirespring.process.tasks import OwnerTask
 from samphirespring.process.timers import TimerService
@@ -69,7 +70,7 @@
         limits: GroupLimits | None = None,
         disk: Disk | None = None,
     ) -> None:
-        peers = {peer.replica: peer.link_address for peer in settings.peers}
+        peers = _list_peers(settings)
         own_address = peers.get(settings.replica, settings.link_listen)
         if tls is None and settings.link_tls is not None:
             tls = make_client_context(settings.link_tls)
@@ -87,6 +88,7 @@
             metrics=metrics,
             timing=timing or ReplicaTiming(),
             limits=limits or GroupLimits(),
+            discovery=_make_discovery(settings.discovery),
         )
         self._groups: dict[GroupId, ReplicatedGroup[Any, Any, Any]] = {}
 
@@ -127,6 +129,15 @@
         """
         return GroupWitness(context=self._context, group=group, placed=placed)
 
+    def use_seeds(self, seeds: Sequence[str]) -> None:
+        """Look for the groups at other control hosts, where this one is outside of them.
+
+        Args:
+            seeds: Their link addresses.
+        """
+        for group in self._groups.values():
+            group.use_seeds({ReplicaId(seed): seed for seed in seeds})
+
     async def has_files(self, group: GroupId) -> bool:
         """Return whether the data folder has files of a group.
 
@@ -153,3 +164,20 @@
                 await group.transfer_lead()
             except SamphireError as error:
                 _log.info(LogEvent.LEAD_NOT_TRANSFERRED, group=status.group, detail=error.detail)
+
+
+def _list_peers(settings: ControlSettings) -> dict[ReplicaId, str]:
+    """Return the link addresses of the control hosts that the settings name."""
+    if settings.discovery is None:
+        return {peer.replica: peer.link_address for peer in settings.peers}
+    return {ReplicaId(seed): seed for seed in settings.discovery.seeds}
+
+
+def _make_discovery(settings: DiscoverySettings | None) -> Discovery | None:
+    if settings is None:
+        return None
+    return Discovery(
+        seeds=tuple(ReplicaId(seed) for seed in settings.seeds),
+        may_found=settings.first_start,
+        voters=settings.voters,
+    )
--- a/src/samphirespring/process/detection/classification.py
+++ b/src/samphirespring/process/detection/classification.py
@@ -28,6 +28,7 @@
     FailureKind.RESET: ObservedOutcome.RESET,
     FailureKind.CUT: ObservedOutcome.CUT,
     FailureKind.WRONG: ObservedOutcome.WRONG,
+    FailureKind.MISMATCH: ObservedOutcome.WRONG,
 }
 _MEMBERS_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
--- a/src/samphirespring/process/detection/target_health.py
+++ b/src/samphirespring/process/detection/target_health.py
@@ -123,15 +123,17 @@
             return max(MIN_START_WEIGHT, min(1.0, (now_s - self._since_s) / self._slow_start_s))
         return 1.0
 
-    def start_cold(self, now_s: float) -> None:
+    def start_cold(self, now_s: float, *, span_s: float | None = None) -> None:
         """Begin a slow start whose answers are no evidence.
 
         Args:
             now_s: Monotonic time, in seconds.
+            span_s: Its length, in seconds; None takes the policy's.
         """
         self._detector.reset()
         self._cold = True
-        self._enter(TargetCondition.SLOW_START, now_s, until_s=now_s + self._slow_start_s)
+        until_s = now_s + (self._slow_start_s if span_s is None else span_s)
+        self._enter(TargetCondition.SLOW_START, now_s, until_s=until_s)
 
     def use_reference(self, reference: PoolReference) -> None:
         """Compare with this reference from now on.
--- a/src/samphirespring/process/document/commands.py
+++ b/src/samphirespring/process/document/commands.py
@@ -7,6 +7,7 @@
     ChangeId,
     DocumentVersion,
     Generation,
+    Revision,
     SectionName,
     SectionVersion,
     TeamName,
@@ -45,7 +46,33 @@
     """Wall time at the leader, in nanoseconds."""
 
 
-DocumentCommand = FoundDocument | ChangeSection
+class PackedSection(msgspec.Struct, frozen=True, kw_only=True):
+    """One section of a document that is submitted as a whole."""
+
+    name: SectionName
+    data: bytes
+    """JSON text, compressed by zlib."""
+
+
+class ReplaceDocument(msgspec.Struct, frozen=True, kw_only=True, tag="replace"):
+    """Replaces all sections at once, under the submitter's own revision number."""
+
+    base: Revision
+    """Revision that the document was made from; 0 for the first one."""
+
+    revision: Revision
+    digest: bytes
+    """SHA-256 over base and submitted text; a resend has the same."""
+
+    submitted: bytes
+    """The text as it was submitted, compressed by zlib; a read gives it back."""
+
+    sections: tuple[PackedSection, ...]
+    at_ns: int
+    """Wall time at the leader, in nanoseconds; the generation of a first document."""
+
+
+DocumentCommand = FoundDocument | ChangeSection | ReplaceDocument
 
 
 class ChangeRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,6 +141,18 @@
     section: SectionName
 
 
+class DocumentReplaced(msgspec.Struct, frozen=True, kw_only=True, tag="replaced"):
+    """The submitted document is accepted, now or by an earlier copy of the command."""
+
+    revision: Revision
+
+
+class RevisionConflict(msgspec.Struct, frozen=True, kw_only=True, tag="revision_conflict"):
+    """Another revision than the base is the newest."""
+
+    newest: Revision
+
+
 class DocumentMissing(msgspec.Struct, frozen=True, kw_only=True, tag="missing"):
     """The group has no document yet."""
 
@@ -130,6 +169,8 @@
     | ChangeIdTaken
     | ChangeForbidden
     | DocumentMissing
+    | DocumentReplaced
+    | RevisionConflict
 )
 
 
@@ -144,6 +185,24 @@
     answer: ChangeAnswer
 
 
+class AcceptedSubmission(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One submitted document that was accepted."""
+
+    digest: bytes
+    revision: Revision
+
+
+class SubmittedDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest document that was submitted as a whole."""
+
+    revision: Revision = Revision(0)
+    submitted: bytes | None = None
+    """Its text, compressed by zlib; None once a section was changed by itself."""
+
+    accepted: tuple[AcceptedSubmission, ...] = ()
+    """Submissions accepted lately, oldest first."""
+
+
 class DocumentSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """The whole replicated state of the document."""
 
@@ -155,3 +214,5 @@
     history: tuple[ChangeRecord, ...]
     revisions: tuple[StoredSection, ...]
     """Texts of sections that the history can compare, oldest first."""
+
+    submission: SubmittedDocument = SubmittedDocument()
--- a/src/samphirespring/process/document/errors.py
+++ b/src/samphirespring/process/document/errors.py
@@ -4,6 +4,12 @@
 from samphirespring.process.errors import ErrorCode, SamphireError
 
 
+class RevisionConflictError(SamphireError):
+    """A submitted document was made from another revision than the newest."""
+
+    code = ErrorCode.VERSION_CONFLICT
+
+
 class VersionConflictError(SamphireError):
     """Another change of the section came first.
 
--- a/src/samphirespring/process/document/machine.py
+++ b/src/samphirespring/process/document/machine.py
@@ -17,11 +17,17 @@
     DocumentCommand,
     DocumentFounded,
     DocumentMissing,
+    DocumentReplaced,
     DocumentResult,
     DocumentSnapshot,
     FoundDocument,
+    ReplaceDocument,
+    RevisionConflict,
+    SubmittedDocument,
 )
 from samphirespring.process.document.history import ChangeHistory
+from samphirespring.process.document.packing import unpack_text
+from samphirespring.process.document.submissions import Submissions
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.replication.state_machine import StateMachine
 from samphirespring.version.access import may_change
@@ -32,7 +38,12 @@
     FleetSection,
     LedgerLayout,
 )
-from samphirespring.version.ids import DocumentVersion, SectionName, SectionVersion
+from samphirespring.version.ids import (
+    DocumentVersion,
+    Generation,
+    SectionName,
+    SectionVersion,
+)
 from samphirespring.version.parser import DocumentInvalidError, parse_section
 from samphirespring.version.section_set import SectionSet, store_section
 from samphirespring.version.stamp import NO_STAMP, DocumentStamp
@@ -68,6 +79,7 @@
         self._history = ChangeHistory() if history is None else history
         self._sections = SectionSet()
         self._checked = CheckedSections()
+        self._submissions = Submissions()
 
     @property
     def sections(self) -> SectionSet:
@@ -91,6 +103,11 @@
         """Accepted changes."""
         return self._history
 
+    @property
+    def submission(self) -> SubmittedDocument:
+        """The newest document that was submitted as a whole."""
+        return self._submissions.newest
+
     def apply(self, *, index: LogIndex, command: DocumentCommand) -> DocumentResult:
         """Apply one committed command and return its result."""
         match command:
@@ -98,6 +115,8 @@
                 return self._found(command)
             case ChangeSection():
                 return self._change(command)
+            case ReplaceDocument():
+                return self._replace(command)
 
     def capture_snapshot(self) -> DocumentSnapshot:
         """Return the whole state."""
@@ -109,6 +128,7 @@
             remembered=self._memory.read_entries(),
             history=self._history.read_records(),
             revisions=self._history.read_revisions(),
+            submission=self._submissions.capture(),
         )
 
     def restore_snapshot(self, snapshot: DocumentSnapshot) -> None:
@@ -123,6 +143,7 @@
         self._checked = checked
         self._memory.restore(snapshot.remembered)
         self._history.restore(snapshot.history, snapshot.revisions)
+        self._submissions.restore(snapshot.submission)
         self._sections = SectionSet(
             stamp=snapshot.stamp,
             sections={section.name: section for section in snapshot.sections},
@@ -143,6 +164,34 @@
             self._announce()
         return DocumentFounded(stamp=self._sections.stamp)
 
+    def _replace(self, command: ReplaceDocument) -> DocumentResult:
+        accepted = self._submissions.find_accepted(command)
+        if accepted is not None:
+            return DocumentReplaced(revision=accepted)
+        newest = self._submissions.newest.revision
+        if command.base != newest:
+            return RevisionConflict(newest=newest)
+        if command.revision <= newest:
+            problem = f"revision {command.revision} is not above the newest one, {newest}"
+            return ChangeInvalid(problems=(problem,))
+        try:
+            texts = {section.name: unpack_text(section.data) for section in command.sections}
+            self._check_replacement(texts)
+        except DocumentInvalidError as error:
+            return ChangeInvalid(problems=error.problems)
+        self._sections = self._sections.replace_all(texts, generation=Generation(command.at_ns))
+        self._submissions.accept(command)
+        self._announce()
+        return DocumentReplaced(revision=command.revision)
+
+    def _check_replacement(self, texts: dict[SectionName, bytes]) -> None:
+        layout = self.ledger_layout
+        checked = CheckedSections()
+        checked.replace_all(texts)
+        if layout is not None and checked.fleet.ledger_layout != layout:
+            raise DocumentInvalidError(("the ledger's layout can't change - at `$.fleet`",))
+        self._checked = checked
+
     def _change(self, command: ChangeSection) -> DocumentResult:
         if self._sections.stamp == NO_STAMP:
             return DocumentMissing()
@@ -189,6 +238,7 @@
         )
 
     def _accept(self, command: ChangeSection) -> ChangeAccepted:
+        self._submissions.forget_text()
         if command.text is None:
             self._sections = self._sections.remove_section(command.section)
             digest = b""
--- /dev/null
+++ b/src/samphirespring/process/document/packing.py
@@ -0,0 +1,36 @@
+"""Compression of texts that commands and snapshots carry."""
+
+import zlib
+
+from samphirespring.version.parser import DocumentInvalidError
+
+UNPACKED_BYTES = 16 << 20
+"""Largest text that is unpacked, in bytes."""
+
+
+def pack_text(text: bytes) -> bytes:
+    """Return a text in its compressed form.
+
+    Args:
+        text: The text.
+    """
+    return zlib.compress(text)
+
+
+def unpack_text(data: bytes) -> bytes:
+    """Return the text of a compressed form.
+
+    Args:
+        data: What `pack_text` returned.
+
+    Raises:
+        DocumentInvalidError: The data isn't one compressed text within the bound.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(data, UNPACKED_BYTES)
+    except zlib.error as error:
+        raise DocumentInvalidError((f"a packed text can't be read: {error}",)) from None
+    if not decompressor.eof:
+        raise DocumentInvalidError(("a packed text is cut short or too large",))
+    return text
--- a/src/samphirespring/process/document/service.py
+++ b/src/samphirespring/process/document/service.py
@@ -1,6 +1,7 @@
 """Reading and changing the document, for any front end of operators."""
 
 import difflib
+import hashlib
 from collections.abc import Mapping
 
 import msgspec
@@ -17,19 +18,26 @@
     DocumentCommand,
     DocumentFounded,
     DocumentMissing,
+    DocumentReplaced,
     DocumentResult,
     FoundDocument,
     InitialSection,
+    PackedSection,
+    ReplaceDocument,
+    RevisionConflict,
 )
 from samphirespring.process.document.errors import (
     ChangeIdReusedError,
     DocumentMissingError,
     LedgerLayoutFixedError,
+    RevisionConflictError,
     SectionUnknownError,
     VersionConflictError,
 )
 from samphirespring.process.document.machine import DocumentMachine
+from samphirespring.process.document.packing import pack_text, unpack_text
 from samphirespring.process.document.session import OperatorSession
+from samphirespring.process.errors import InternalError
 from samphirespring.process.replication.state_machine import NoQuorumError, Proposer
 from samphirespring.process.timers import TimerService
 from samphirespring.version.access import (
@@ -40,6 +48,7 @@
 from samphirespring.version.ids import (
     ChangeId,
     Generation,
+    Revision,
     SectionName,
     SectionVersion,
 )
@@ -95,6 +104,64 @@
         """Return the ledger's layout, or None if this replica has applied no document yet."""
         return await self._proposer.read(lambda: self._machine.ledger_layout)
 
+    async def replace(
+        self,
+        *,
+        base: Revision,
+        revision: Revision,
+        submitted: bytes,
+        sections: Mapping[SectionName, bytes],
+    ) -> Revision:
+        """Replace the whole document, and return the revision that is accepted.
+
+        Whoever may call this owns all sections; it is for operators that keep the document
+        elsewhere and submit it in one piece. A resend of an accepted document is accepted again.
+
+        Args:
+            base: Revision that the document was made from; 0 for the first one.
+            revision: Its own number, above the newest one.
+            submitted: The text as the operator sent it, which `read_submitted` gives back.
+            sections: JSON text of each section.
+
+        Raises:
+            RevisionConflictError: Another revision than the base is the newest.
+            DocumentInvalidError: The document isn't valid.
+            CommitUnknownError: Whether it is accepted isn't known; send it again.
+            SamphireError: The log didn't take it.
+        """
+        packed = tuple(
+            PackedSection(name=name, data=pack_text(text)) for name, text in sections.items()
+        )
+        command = ReplaceDocument(
+            base=base,
+            revision=revision,
+            digest=hashlib.sha256(b"%d:" % base + submitted).digest(),
+            submitted=pack_text(submitted),
+            sections=packed,
+            at_ns=self._timers.read_wall_ns(),
+        )
+        result = await self._proposer.propose(command)
+        match result:
+            case DocumentReplaced():
+                return result.revision
+            case RevisionConflict():
+                raise RevisionConflictError(f"the newest revision is {result.newest}")
+            case ChangeInvalid():
+                raise DocumentInvalidError(result.problems)
+        raise InternalError("the document's machine answered another command")
+
+    async def read_submitted(self) -> bytes | None:
+        """Return the newest submitted text, or None if there is none in force.
+
+        Raises:
+            NotLeaderError: Another replica must be asked.
+            NoQuorumError: No quorum can be reached.
+        """
+        # A suspended host's lease looks valid to it for a while after it runs again.
+        await self._proposer.confirm_lead(by_round=True)
+        newest = await self._proposer.read(lambda: self._machine.submission)
+        return None if newest.submitted is None else unpack_text(newest.submitted)
+
     async def confirm_lead(self) -> None:
         """Return once this replica leads and has applied all commits.
 
@@ -293,5 +360,5 @@
             raise ChangeIdReusedError(f"change id {result.change_id} belongs to another change")
         case ChangeForbidden():
             raise ForbiddenError(f"team {result.team} doesn't own section {result.section}")
-        case DocumentMissing() | DocumentFounded():
+        case DocumentMissing() | DocumentFounded() | DocumentReplaced() | RevisionConflict():
             raise DocumentMissingError("the group of control hosts has no document yet")
--- a/src/samphirespring/process/document/sources.py
+++ b/src/samphirespring/process/document/sources.py
@@ -68,7 +68,7 @@
     Args:
         domain: Failure domain of the own host.
         own: The own host.
-        control: Link addresses of the control hosts.
+        control: Link addresses of the control hosts; read at each choice.
         seeds: Link addresses of peers from the settings.
     """
 
@@ -82,7 +82,7 @@
     ) -> None:
         self._domain = domain
         self._own = own
-        self._control = tuple(control)
+        self._control = control
         self._seeds = tuple(seeds)
         self._sick_until_s: dict[str, float] = {}
         self._control_stale_until_s: float | None = None
@@ -108,7 +108,7 @@
         well = tuple(dict.fromkeys(address for address in others if address not in sick))
         if well:
             return Sources(kind=SourceKind.PEER, addresses=well[:SEED_COUNT])
-        return Sources(kind=SourceKind.CONTROL, addresses=self._control)
+        return Sources(kind=SourceKind.CONTROL, addresses=tuple(self._control))
 
     def note_failure(self, address: str, *, now_s: float) -> None:
         """Leave a source out for a while.
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -24,6 +24,7 @@
 )
 from samphirespring.request.exchange import Exchange
 from samphirespring.request.limits import find_limits
+from samphirespring.request.split import SplitSequence
 from samphirespring.request.states import Outcome
 from samphirespring.version.ids import DocumentVersion
 from samphirespring.version.routes import CompiledDocument, Route
@@ -73,6 +74,7 @@
         self._actions = actions
         self._runner = runner
         self._compiled: CompiledDocument | None = None
+        self._splits = SplitSequence(context.generator)
         self._in_flight = 0
         self._served = 0
 
@@ -119,12 +121,18 @@
         route = compiled.find_route(host=request.host, method=request.method, path=request.path)
         if route is None:
             raise NoRouteError(f"no route for {request.method} {request.host}{request.path}")
+        if route.parts:
+            name = f"{route.policy.host}{route.policy.path_prefix}"
+            route = route.choose_part(self._splits.draw(name))
         with self._count_in_flight():
             with doubt_earlier_requests(keyed=keyed and not route.policy.idempotent):
                 await self._check_limits(request, route, compiled)
             if not route.policy.idempotent:
+                check_action(request, route=route)
+            if keyed and not route.policy.idempotent:
                 await self._serve_action(request, route, compiled, writer)
                 return
+            # Nobody can resend an action without a key: this front alone dispatches it, once.
             exchange = Exchange(
                 self._context,
                 request=request,
@@ -141,7 +149,6 @@
         compiled: CompiledDocument,
         writer: AnswerWriter,
     ) -> None:
-        check_action(request, route=route)
         exchange = ActionExchange(
             self._actions,
             request=request,
@@ -164,6 +171,7 @@
                 workspace_limit=limits.workspace,
                 route_group=limits.route_group,
                 route_limit=limits.route,
+                retry_window_s=route.service.retry_window_s,
                 reply=reply,
             ),
         )
--- a/src/samphirespring/process/local_target.py
+++ b/src/samphirespring/process/local_target.py
@@ -48,14 +48,25 @@
             expires_s: New end of the lease, in seconds of monotonic time.
             now_s: Monotonic time, in seconds.
         """
-        was_serving = self.announcement.phase is TargetPhase.SERVING
-        if not was_serving and announcement.phase is TargetPhase.SERVING:
-            self.judge.health.start_cold(now_s)
+        begins = self.announcement.phase is not TargetPhase.SERVING
+        restarted = announcement.started_ms > self.announcement.started_ms
+        if restarted or (begins and announcement.phase is TargetPhase.SERVING):
+            self.start_cold(announcement, now_s)
         self.announcement = announcement
         self.slots = slots
         self.expires_s = expires_s
         self.withdrawn = False
 
+    def start_cold(self, announcement: Announcement, now_s: float) -> None:
+        """Begin a slow start, unless the backend server says that it is over.
+
+        Args:
+            announcement: The announcement.
+            now_s: Monotonic time, in seconds.
+        """
+        if announcement.cold_s != 0.0:
+            self.judge.health.start_cold(now_s, span_s=announcement.cold_s)
+
     def withdraw(self) -> None:
         """Refuse new work from now on."""
         self.announcement = msgspec.structs.replace(self.announcement, phase=TargetPhase.DRAINING)
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -72,6 +72,7 @@
     DOCUMENT_SOURCE_FAILED = "document_source_failed"
     DOCUMENT_FILE_INVALID = "document_file_invalid"
     DOCUMENT_SAVE_FAILED = "document_save_failed"
+    DOCUMENT_NOT_REPLACED = "document_not_replaced"
     DOCUMENT_NOT_FOUNDED = "document_not_founded"
     INITIAL_DOCUMENT_INVALID = "initial_document_invalid"
     IN_FORCE_REPORT_FAILED = "in_force_report_failed"
--- a/src/samphirespring/process/programs/control.py
+++ b/src/samphirespring/process/programs/control.py
@@ -2,8 +2,9 @@
 
 import random
 from collections.abc import Mapping
+from functools import partial
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 from starlette.applications import Starlette
@@ -32,8 +33,10 @@
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.logs import configure_logs
 from samphirespring.process.metrics import make_metrics
+from samphirespring.process.programs.edges import ControlEdge, ControlParts
 from samphirespring.process.registry.machine import RegistryMachine
 from samphirespring.process.registry_keeper import RegistryKeeper
+from samphirespring.process.replication.group_status import GroupOperations
 from samphirespring.process.runtime import read_settings, run_program, run_tasks, watch_for_stop
 from samphirespring.process.settings import (
     ControlSettings,
@@ -63,10 +66,17 @@
     Args:
         settings: The settings.
         initial: Sections that a new, empty group of replicas starts with.
+        edge: The protocol of operators; None takes the project's own.
     """
 
-    def __init__(self, settings: ControlSettings, initial: Mapping[SectionName, bytes]) -> None:
+    def __init__(
+        self,
+        settings: ControlSettings,
+        initial: Mapping[SectionName, bytes],
+        edge: ControlEdge | None = None,
+    ) -> None:
         self._settings = settings
+        self._edge = edge
         timers = MonotonicTimerService()
         self._metrics = metrics = make_metrics(
             settings.statsd, timers=timers, generator=random.Random()
@@ -91,12 +101,14 @@
             metrics=metrics,
         )
         registry = RegistryMachine()
+        registry_group = self._groups.add(REGISTRY_GROUP, registry)
         self._registry = RegistryKeeper(
             machine=registry,
-            proposer=self._groups.add(REGISTRY_GROUP, registry),
+            proposer=registry_group,
             lease_s=settings.host_lease_s,
             timers=timers,
             metrics=metrics,
+            read_control_links=partial(_read_control_links, registry_group),
         )
         founder = DocumentFounder(documents=self._documents, initial=initial, timers=timers)
         self._tasks: tuple[OwnerTask, ...] = (
@@ -143,7 +155,13 @@
             *self._ledger.make_handlers(),
         ]
 
-    def _make_app(self) -> Starlette:
+    def _make_app(self) -> Any:
+        if self._edge is not None:
+            parts = ControlParts(documents=self._documents, tasks=self._tasks)
+            return self._edge.make_operator_app(parts)
+        return self._make_operator_app()
+
+    def _make_operator_app(self) -> Starlette:
         addresses = {
             peer.replica: peer.operator_address
             for peer in self._settings.peers
@@ -160,6 +178,12 @@
         ).make_app()
 
 
+async def _read_control_links(group: GroupOperations) -> tuple[str, ...]:
+    """Return the link addresses of all members of a group."""
+    status = await group.read_status()
+    return tuple(member.link_address for member in status.members)
+
+
 def _read_initial(settings: ControlSettings) -> dict[SectionName, bytes]:
     if settings.initial_document_file is None:
         return {}
--- a/src/samphirespring/process/programs/node.py
+++ b/src/samphirespring/process/programs/node.py
@@ -10,6 +10,7 @@
 import typer
 
 from samphirespring.connection.attempt_link import RUN_ATTEMPT, LinkAttemptSender
+from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
 from samphirespring.connection.caller_http import CallerApp
 from samphirespring.connection.document_link import (
     FETCH_DELTA,
@@ -38,6 +39,7 @@
 from samphirespring.process.agent_messages import DrainHost
 from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.control_client import ControlClient
+from samphirespring.process.control_directory import ControlDirectory
 from samphirespring.process.document.compiler import DocumentCompiler
 from samphirespring.process.document.file import DocumentFile
 from samphirespring.process.document.follower import DocumentFollower
@@ -52,7 +54,9 @@
 from samphirespring.process.logs import configure_logs
 from samphirespring.process.metrics import make_metrics
 from samphirespring.process.node_operations import NodeOperations
+from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
+from samphirespring.process.programs.edges import NodeEdge, NodeParts
 from samphirespring.process.registry.first_table import FirstTableSearch
 from samphirespring.process.registry.uplink import TreeUplink
 from samphirespring.process.registry_client import RegistryClient
@@ -79,15 +83,43 @@
 _log = EventLog()
 
 
+class SamphireNodeEdge(NodeEdge):
+    """The project's own protocols.
+
+    Args:
+        settings: The node's settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+
+    def make_dialect(self) -> BackendDialect:
+        """Return the project's own headers and refusals."""
+        return SamphireDialect()
+
+    def make_caller_app(self, parts: NodeParts) -> CallerApp:
+        """Return the ASGI application for callers."""
+        return CallerApp(parts.front, self._settings.limits)
+
+    @asynccontextmanager
+    async def serve_local(self, parts: NodeParts) -> AsyncIterator[None]:
+        """Serve announcements, readiness and the dump."""
+        app = LocalApp(parts.agent, parts.tasks, parts.front).make_app()
+        async with serve_http(app, address=self._settings.local_listen):
+            yield
+
+
 class Node:
     """Composes the tasks of one node.
 
     Args:
         settings: The node's settings.
+        edge: The protocols around it; None takes the project's own.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, edge: NodeEdge | None = None) -> None:
         self._settings = settings
+        self._edge = edge or SamphireNodeEdge(settings)
         self._timers = MonotonicTimerService()
         locality = Locality(
             region=settings.locality.region,
@@ -104,7 +136,8 @@
         self._links = LinkPool(
             capacity=LINK_CAPACITY, tls=store.make_client(settings.link_tls), metrics=metrics
         )
-        control = ControlClient(self._links, settings.control_links)
+        self.directory = directory = ControlDirectory(settings.control_links)
+        control = ControlClient(self._links, directory)
         link_address = settings.link_advertised or settings.link_listen
         self._agent = Agent(
             locality=locality,
@@ -115,7 +148,10 @@
         )
         self._guard = ActionGuard(incarnation=self._agent.incarnation, timers=self._timers)
         self._runner = AttemptRunner(
-            agent=self._agent.inbox, guard=self._guard.inbox, timers=self._timers
+            agent=self._agent.inbox,
+            guard=self._guard.inbox,
+            timers=self._timers,
+            dialect=self._edge.make_dialect(),
         )
         target_prober = TargetProber(
             HttpHealthProbe(),
@@ -152,7 +188,7 @@
             generator=generator,
             replay_buffer_bytes=settings.limits.replay_buffer_bytes,
         )
-        ledger = LedgerClient(self._links, settings.control_links)
+        ledger = LedgerClient(self._links, directory)
         actions = ActionRunner(ledger=ledger, timers=self._timers, metrics=metrics)
         self._front = Front(
             exchanges,
@@ -169,7 +205,7 @@
                 chooser=SourceChooser(
                     domain=locality.failure_domain,
                     own=locality.host,
-                    control=settings.control_links,
+                    control=directory,
                     seeds=(),
                 ),
                 control=control,
@@ -181,6 +217,7 @@
             table=table.inbox,
             timers=self._timers,
             interval_s=settings.report_interval_s,
+            directory=directory,
         )
         self._keeper = DocumentKeeper(timers=self._timers)
         saver = DocumentSaver(
@@ -193,7 +230,7 @@
             chooser=SourceChooser(
                 domain=locality.failure_domain,
                 own=locality.host,
-                control=settings.control_links,
+                control=directory,
                 seeds=settings.peer_links,
             ),
             domain=locality.failure_domain,
@@ -232,6 +269,15 @@
             TlsReloader(contexts=store.contexts, timers=self._timers, metrics=metrics),
         )
         self._operations = NodeOperations(agent=self._agent.inbox, tasks=self._tasks)
+        self._parts = NodeParts(
+            front=self._front,
+            agent=self._agent.inbox,
+            tasks=self._tasks,
+            readiness=NodeReadiness(
+                has_document=lambda: self._front.read_document() is not None,
+                has_table=lambda: self._registry.has_table,
+            ),
+        )
 
     async def run(self) -> None:
         """Serve until a stop is asked for, then drain."""
@@ -240,11 +286,12 @@
                 watch_for_stop() as stop,
                 run_tasks(self._tasks),
                 self._serve_links(),
-                self._serve_local(),
+                self._edge.serve_local(self._parts),
             ):
                 async with self._serve_callers() as callers:
                     _log.info(LogEvent.NODE_STARTED, host=self._settings.locality.host)
                     await stop.wait()
+                    self._parts.readiness.leave()
                     callers.begin_drain()
                     await self._refuse_new_work()
                 await self._wait_until_idle()
@@ -282,16 +329,10 @@
         ):
             yield
 
-    @asynccontextmanager
-    async def _serve_local(self) -> AsyncIterator[None]:
-        app = LocalApp(self._agent.inbox, self._tasks, self._front).make_app()
-        async with serve_http(app, address=self._settings.local_listen):
-            yield
-
     @asynccontextmanager
     async def _serve_callers(self) -> AsyncIterator[HttpServer]:
         async with serve_http(
-            CallerApp(self._front, self._settings.limits),
+            self._edge.make_caller_app(self._parts),
             address=self._settings.caller_listen,
             header_bytes=self._settings.limits.header_bytes,
             drain_timeout_s=self._settings.drain_timeout_s,
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -6,6 +6,7 @@
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
 from samphirespring.process.agent_messages import AgentMessage, ReportHost
+from samphirespring.process.control_directory import ControlDirectory
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
@@ -69,6 +70,7 @@
         table: Inbox of the target table.
         timers: The timer service.
         interval_s: Time between two reports of this host, in seconds.
+        directory: Addresses of the control hosts, which this task keeps up to date.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         table: Mailbox[TableMessage],
         timers: TimerService,
         interval_s: float,
+        directory: ControlDirectory | None = None,
     ) -> None:
+        self._directory = directory or ControlDirectory(())
         self.inbox: Mailbox[RelayReports] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._uplink = uplink
         self._agent = agent
@@ -121,6 +125,11 @@
             pending_reports=self._pending.count,
         )
 
+    @property
+    def has_table(self) -> bool:
+        """Whether the registry's table, or a peer's copy of it, has come."""
+        return self._mirror.version > RegistryVersion(0)
+
     async def relay(self, batch: ReportBatch) -> BatchReply:
         """Take reports of hosts below, and return what changed as far as this node knows.
 
@@ -147,7 +156,14 @@
     def _answer(self, batch: ReportBatch, delta: RegistryDelta) -> BatchReply:
         self._relayed_count += len(batch.reports)
         unknown = tuple(r.host for r in batch.reports if self._pending.add(r))
-        return BatchReply(delta=delta, unknown=unknown, age_s=self._read_age_s())
+        told = self._directory.told
+        known = batch.known_control == self._directory.digest
+        return BatchReply(
+            delta=delta,
+            unknown=unknown,
+            control_links=() if known else told,
+            age_s=self._read_age_s(),
+        )
 
     async def _report_repeatedly(self) -> None:
         async for _ in self._timers.subscribe(interval_s=self._interval_s):
@@ -168,7 +184,11 @@
 
     async def _forward(self) -> None:
         reports = self._pending.take_all()
-        batch = ReportBatch(known_version=self._mirror.version, reports=reports)
+        batch = ReportBatch(
+            known_version=self._mirror.version,
+            reports=reports,
+            known_control=self._directory.digest,
+        )
         try:
             reply = await self._uplink.send(batch)
         except SamphireError as error:
@@ -178,6 +198,8 @@
         self._note_reachable(True)
         self._heard_s = self._timers.read_now_s() - reply.age_s
         self._note_acknowledged(reports, reply)
+        if reply.control_links:
+            self._directory.use_told(reply.control_links)
         self._use_delta(reply.delta)
 
     def _note_acknowledged(self, reports: tuple[HostReport, ...], reply: BatchReply) -> None:
--- a/src/samphirespring/process/registry_keeper.py
+++ b/src/samphirespring/process/registry_keeper.py
@@ -1,11 +1,12 @@
 """Keeps the registry of a control host."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import anyio
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
+from samphirespring.process.control_directory import compute_digest
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId, RegistryVersion
@@ -80,6 +81,7 @@
         lease_s: How long a host stays without a report, in seconds.
         timers: The timer service.
         metrics: Where to count and measure.
+        read_control_links: Returns the link addresses of all control hosts; None tells none.
     """
 
     def __init__(
@@ -90,7 +92,10 @@
         lease_s: float,
         timers: TimerService,
         metrics: Metrics,
+        read_control_links: Callable[[], Awaitable[tuple[str, ...]]] | None = None,
     ) -> None:
+        self._read_control_links = read_control_links
+        self._control_links: tuple[str, ...] = ()
         self.inbox: Mailbox[TakeReport | ReadTable] = Mailbox(
             name=self.name, capacity=INBOX_CAPACITY
         )
@@ -215,7 +220,13 @@
             else:
                 self._pending[report.host] = report.record
                 self._pending_changed.set()
-        return BatchReply(delta=delta, unknown=tuple(unknown), table_sources=sources)
+        known_control = batch.known_control == compute_digest(self._control_links)
+        return BatchReply(
+            delta=delta,
+            unknown=tuple(unknown),
+            table_sources=sources,
+            control_links=() if known_control else self._control_links,
+        )
 
     def _name_table_sources(
         self, batch: ReportBatch, entries: Sequence[HostEntry | None], now_s: float
@@ -248,6 +259,8 @@
             self._note_lead(False)
             raise
         self._note_lead(True)
+        if self._read_control_links is not None:
+            self._control_links = await self._read_control_links()
         self._lead_until_s = now_s + LEAD_VALIDITY_S
 
     def _note_lead(self, leads: bool) -> None:
--- a/src/samphirespring/process/replication/context.py
+++ b/src/samphirespring/process/replication/context.py
@@ -6,6 +6,7 @@
 
 from samphirespring.process.ids import ReplicaId
 from samphirespring.process.metrics import Metrics
+from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.disk import Disk
 from samphirespring.process.replication.timing import ReplicaTiming
 from samphirespring.process.replication.transport import ReplicationTransport
@@ -47,6 +48,7 @@
         metrics: Where to count and measure.
         timing: Time spans of the consensus protocol.
         limits: Bounds of each replica.
+        discovery: How members are found where `peers` names only some; None if it names all.
     """
 
     replica: ReplicaId
@@ -59,3 +61,4 @@
     metrics: Metrics
     timing: ReplicaTiming = field(default_factory=ReplicaTiming)
     limits: GroupLimits = field(default_factory=GroupLimits)
+    discovery: Discovery | None = None
--- /dev/null
+++ b/src/samphirespring/process/replication/discovery.py
@@ -0,0 +1,74 @@
+"""How a group finds its members where the settings name only some of the control hosts."""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+
+from samphirespring.process.ids import LogIndex, MemberId, ReplicaId
+from samphirespring.process.replication.entries import Member, Membership
+from samphirespring.process.replication.membership_plan import is_caught_up
+from samphirespring.process.replication.progress import FollowerProgress
+from samphirespring.process.states import MemberStanding
+
+MAX_LEARNERS = 4
+"""Members without a vote; further control hosts wait until one of these leaves."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Discovery:
+    """Which hosts form a new group, and how far it grows.
+
+    Attributes:
+        seeds: Control hosts that the settings name; they form a new group.
+        may_found: Whether the fleet starts for the first time, so that an empty folder is new.
+        voters: Number of voters that the group grows to.
+    """
+
+    seeds: tuple[ReplicaId, ...]
+    may_found: bool
+    voters: int
+
+
+def plan_growth(
+    membership: Membership,
+    *,
+    voters: int,
+    leader: MemberId,
+    joiners: Sequence[Member],
+    followers: Mapping[MemberId, FollowerProgress],
+    silent: Collection[MemberId],
+    commit_index: LogIndex,
+) -> Membership | None:
+    """Return the next membership, or None if there is nothing to do now.
+
+    Control hosts that announce themselves become learners, and voters until there are enough. A
+    voter that has been silent for long leaves once a learner has caught up, never before.
+
+    Args:
+        membership: The newest membership; it is committed.
+        voters: Number of voters to grow to.
+        leader: The leading member.
+        joiners: Hosts that announced themselves lately.
+        followers: Progress of the other members.
+        silent: Members that the leader has not heard for long.
+        commit_index: Last committed index.
+    """
+    learners = [m for m in membership.members if m.standing is MemberStanding.LEARNER]
+    for joiner in joiners:
+        if membership.find_replica(joiner.replica) is None and len(learners) < MAX_LEARNERS:
+            return membership.add_learner(joiner)
+    ready = [
+        m
+        for m in learners
+        if m.replaces is None
+        and m.member not in silent
+        and is_caught_up(followers.get(m.member), commit_index)
+    ]
+    if ready and len(membership.voters) < voters:
+        return membership.promote(ready[0].member)
+    lost = [v for v in membership.voters if v in silent and v != leader]
+    if ready and lost:
+        return membership.remove(lost[0])
+    for learner in learners:
+        if learner.member in silent:
+            return membership.remove(learner.member)
+    return None
--- a/src/samphirespring/process/replication/group.py
+++ b/src/samphirespring/process/replication/group.py
@@ -1,6 +1,6 @@
 """One replicated group on one host: the task that other parts propose to and read from."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Generic
 
 import anyio
@@ -25,6 +25,7 @@
     ReadMachine,
     ReadStatus,
     TransferLead,
+    UseSeeds,
 )
 from samphirespring.process.replication.group_status import GroupOperations, GroupStatus
 from samphirespring.process.replication.machine_host import MachineHost
@@ -78,6 +79,7 @@
         self._inbox = GroupInbox(name=self.name, question_batch=context.limits.batch_questions)
         self._folder = find_folder(group)
         self._session_count = 0
+        self._seeds: Mapping[ReplicaId, str] | None = None
         self._subscribers: list[Mailbox[GroupApplied]] = []
         context.transport.attach(group, self._inbox)
 
@@ -109,14 +111,27 @@
         payload = self._host.encode_command(command)
         return await self._inbox.ask(lambda reply: ProposePayload(payload=payload, reply=reply))
 
-    async def confirm_lead(self) -> None:
+    async def confirm_lead(self, *, by_round: bool = False) -> None:
         """Return once this replica leads under a valid lease and has applied all commits.
 
+        Args:
+            by_round: Whether a quorum must answer a message sent after the call; the lease alone
+                doesn't notice that the host was suspended.
+
         Raises:
             NotLeaderError: Another replica leads, or none.
             BusyError: Too many questions wait.
         """
-        await self._inbox.ask(lambda reply: ConfirmLead(reply=reply))
+        await self._inbox.ask(lambda reply: ConfirmLead(by_round=by_round, reply=reply))
+
+    def use_seeds(self, seeds: Mapping[ReplicaId, str]) -> None:
+        """Announce this host to other control hosts from now on, while it is outside of the group.
+
+        Args:
+            seeds: Link addresses of the control hosts that the settings name now.
+        """
+        self._seeds = seeds
+        self._inbox.post(UseSeeds(seeds=seeds))
 
     async def read(self, view: Callable[[], ViewT]) -> ViewT:
         """Return a view of the state machine between two commands.
@@ -239,6 +254,7 @@
                 host=self._host,
                 subscribers=self._subscribers,
                 number=self._session_count,
+                seeds=self._seeds,
                 placed=self._placed,
             )
             await session.run()
@@ -246,7 +262,13 @@
             storage.close()
 
     def _open(self, storage: GroupStorage) -> OpenedFiles:
-        return open_files(storage, replica=self._context.replica, random=self._context.random)
+        discovery = self._context.discovery
+        return open_files(
+            storage,
+            replica=self._context.replica,
+            random=self._context.random,
+            may_found=discovery is None or discovery.may_found,
+        )
 
     def _report(self, opened: OpenedFiles) -> None:
         log = opened.stored.log
--- a/src/samphirespring/process/replication/group_member.py
+++ b/src/samphirespring/process/replication/group_member.py
@@ -12,6 +12,7 @@
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, GroupLineage, MemberId, ReplicaId
 from samphirespring.process.log_events import LogEvent
+from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.effects import (
     Effect,
     FormGroup,
@@ -47,6 +48,7 @@
         stored: What was loaded from the data folder.
         peers: Link addresses of the replicas that the settings name, this one included.
         placed: Replicas that are to hold the group; None for all peers, who are then never moved.
+        discovery: How members are found where `peers` names only some; None if it names all.
         timing: The time spans.
         random: Source of random numbers.
         now_s: Monotonic time, in seconds.
@@ -61,6 +63,7 @@
         stored: StoredState,
         peers: Mapping[ReplicaId, str],
         placed: Collection[ReplicaId] | None = None,
+        discovery: Discovery | None = None,
         timing: ReplicaTiming,
         random: Random,
         now_s: float,
@@ -79,13 +82,19 @@
             now_s=now_s,
         )
         self.replica = Replica(state)
-        self.desk = MembershipDesk(self.replica, placed=placed)
-        self._is_placed_here = placed is not None and own.replica in placed
-        first_replicas = tuple(peers) if placed is None else tuple(placed)
+        voter_goal = None if discovery is None else discovery.voters
+        self.desk = MembershipDesk(self.replica, placed=placed, voter_goal=voter_goal)
+        self._may_return = discovery is not None or (placed is not None and own.replica in placed)
+        first_replicas = _list_first(peers, placed=placed, discovery=discovery)
+        self._told_members: dict[ReplicaId, str] = {}
         self._formation = Formation(
             own=own,
             first_replicas=first_replicas,
-            witnesses=tuple(replica for replica in peers if replica not in first_replicas),
+            witnesses=(
+                tuple(replica for replica in peers if replica not in first_replicas)
+                if discovery is None
+                else ()
+            ),
             may_form=identity.may_form and identity.lineage is None,
         )
         self._heard_addresses: dict[MemberId, str] = {}
@@ -126,6 +135,7 @@
         if envelope.receiver != self.own.member or self._is_forming:
             return
         if isinstance(message, AnnouncementReply):
+            self._told_members = {m.replica: m.link_address for m in message.members}
             self._formation.take_reply(message, now_s=now_s)
             return
         if envelope.lineage is None:
@@ -171,11 +181,25 @@
         """
         return self._peers.get(record.replica, record.link_address)
 
+    def use_seeds(self, seeds: Mapping[ReplicaId, str]) -> None:
+        """Announce this member to other hosts from now on, if it has to.
+
+        Args:
+            seeds: Link addresses of control hosts that the settings name now.
+        """
+        self._peers = seeds
+
+    def _list_addresses(self) -> dict[ReplicaId, str]:
+        """Return the hosts that may know the group: those named, told of, and in the log."""
+        members = self.replica.log.membership.members
+        known = {member.replica: self.find_address(member) for member in members}
+        return {**self._told_members, **known, **self._peers}
+
     def _may_be_outside(self) -> bool:
         if self.replica.log.membership.find(self.own.member) is None:
             return True
         # A member that was removed isn't told. One that is to hold the group asks to come back.
-        return self._is_placed_here and self.replica.leader is None
+        return self._may_return and self.replica.leader is None
 
     def _announce(self, now_s: float) -> None:
         membership = self._formation.find_membership(now_s)
@@ -185,7 +209,7 @@
             return
         self._announce_due_s = now_s + ANNOUNCE_INTERVAL_S
         announcement = Announcement(member=self.own, first_replicas=self._formation.first_replicas)
-        for replica, address in self._peers.items():
+        for replica, address in self._list_addresses().items():
             if replica != self.own.replica:
                 self._post(address, None, announcement)
 
@@ -195,7 +219,10 @@
         if not formed and announcement.first_replicas != self._formation.first_replicas:
             _log.warning(LogEvent.GROUP_PLACED_OTHERWISE, group=self._group, replica=asker.replica)
             return
-        reply = AnnouncementReply(asker=asker.member, member=self.own, formed=formed)
+        members = self.replica.log.membership.members
+        reply = AnnouncementReply(
+            asker=asker.member, member=self.own, formed=formed, members=members
+        )
         self._post(self.find_address(asker), asker.member, reply)
         if formed:
             self.desk.note_joiner(asker, now_s=now_s)
@@ -224,3 +251,15 @@
             message=message,
         )
         self._effects.append(Post(address=address, envelope=envelope))
+
+
+def _list_first(
+    peers: Mapping[ReplicaId, str],
+    *,
+    placed: Collection[ReplicaId] | None,
+    discovery: Discovery | None,
+) -> tuple[ReplicaId, ...]:
+    """Return the replicas of a new group."""
+    if placed is not None:
+        return tuple(placed)
+    return tuple(peers) if discovery is None else discovery.seeds
--- a/src/samphirespring/process/replication/group_messages.py
+++ b/src/samphirespring/process/replication/group_messages.py
@@ -1,6 +1,6 @@
 """What the task of a replicated group takes from its inbox."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -42,11 +42,29 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfirmLead:
-    """Asks for a confirmation of the lead."""
+    """Asks for a confirmation of the lead.
 
+    Attributes:
+        by_round: Whether a quorum must answer a message that is sent after the question. The lease
+            alone is measured by the steady clock, which stands still while a host is suspended.
+        reply: Gets None once the lead is confirmed.
+    """
+
+    by_round: bool = False
     reply: ReplySlot[None]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UseSeeds:
+    """Brings other seeds: control hosts that a member outside of the group announces itself to.
+
+    Attributes:
+        seeds: Their link addresses.
+    """
+
+    seeds: Mapping[ReplicaId, str]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReadMachine:
     """Asks for a view of the state machine."""
@@ -128,7 +146,7 @@
     index: LogIndex
 
 
-ProtocolInput = TickDue | Received | WriteDone | WriteFailed
+ProtocolInput = TickDue | Received | WriteDone | WriteFailed | UseSeeds
 GroupQuestion = (
     ProposePayload | ConfirmLead | ReadMachine | ChangeMembership | TransferLead | ReadStatus
 )
--- a/src/samphirespring/process/replication/leadership.py
+++ b/src/samphirespring/process/replication/leadership.py
@@ -88,6 +88,23 @@
             self._log.membership, self.followers, leader=self._member, now_s=now_s
         )
 
+    def list_silent(self, now_s: float, *, limit_s: float) -> frozenset[MemberId]:
+        """Return the followers that have answered nothing for long.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+            limit_s: How long, in seconds.
+        """
+        return frozenset(
+            member
+            for member, progress in self.followers.items()
+            if now_s - max(progress.contact_s or self._started_s, self._started_s) > limit_s
+        )
+
+    def ask_for_contact(self) -> None:
+        """Send heartbeats at once, so that a question about the lead is answered soon."""
+        self._heartbeat_due_s = float("-inf")
+
     def read_lease_end_s(self, now_s: float) -> float | None:
         """Return when the lease ends, in seconds, or None before the first one.
 
--- a/src/samphirespring/process/replication/membership_desk.py
+++ b/src/samphirespring/process/replication/membership_desk.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from samphirespring.process.ids import MemberId, ReplicaId
+from samphirespring.process.replication.discovery import plan_growth
 from samphirespring.process.replication.entries import Member, Membership
 from samphirespring.process.replication.errors import (
     MembershipChangeInvalidError,
@@ -18,6 +19,8 @@
 from samphirespring.process.states import MemberStanding
 
 JOINER_VALIDITY_S = 5.0
+MEMBER_LOST_S = 5.0
+"""Silence after which a member makes room for one that has caught up, in seconds."""
 
 
 class MembershipDesk:
@@ -26,11 +29,20 @@
     Args:
         replica: The replica.
         placed: Hosts that are to hold the group; None leaves the group where it is.
+        voter_goal: Number of voters that the group grows to by hosts that announce themselves;
+            None takes no host that the settings don't name.
     """
 
-    def __init__(self, replica: Replica, *, placed: Collection[ReplicaId] | None = None) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        *,
+        placed: Collection[ReplicaId] | None = None,
+        voter_goal: int | None = None,
+    ) -> None:
         self._replica = replica
         self._placed = placed
+        self._voter_goal = voter_goal
         self._joiners: dict[MemberId, Member] = {}
         self._heard_s: dict[MemberId, float] = {}
 
@@ -75,8 +87,20 @@
             followers=leadership.followers,
             commit_index=self._replica.commit_index,
         )
-        if repaired is not None or self._placed is None:
+        if repaired is not None:
             return repaired
+        if self._voter_goal is not None:
+            return plan_growth(
+                membership,
+                voters=self._voter_goal,
+                leader=self._replica.member,
+                joiners=joiners,
+                followers=leadership.followers,
+                silent=leadership.list_silent(now_s, limit_s=MEMBER_LOST_S),
+                commit_index=self._replica.commit_index,
+            )
+        if self._placed is None:
+            return None
         return plan_move(
             membership,
             placed=self._placed,
--- a/src/samphirespring/process/replication/messages.py
+++ b/src/samphirespring/process/replication/messages.py
@@ -126,6 +126,9 @@
     formed: bool
     """Whether the replying replica belongs to a group, or once did."""
 
+    members: tuple[Member, ...] = ()
+    """The group's members as the replying replica knows them; the asker may know none of them."""
+
 
 ReplicaMessage = (
     PreVoteRequest
--- a/src/samphirespring/process/replication/opening.py
+++ b/src/samphirespring/process/replication/opening.py
@@ -37,13 +37,16 @@
     set_aside: SetAside | None = None
 
 
-def open_files(storage: GroupStorage, *, replica: ReplicaId, random: Random) -> OpenedFiles:
+def open_files(
+    storage: GroupStorage, *, replica: ReplicaId, random: Random, may_found: bool = True
+) -> OpenedFiles:
     """Return the state on disk; an empty or damaged folder becomes a new member.
 
     Args:
         storage: The files.
         replica: The replica that they belong to.
         random: Source of random numbers.
+        may_found: Whether an empty folder may take part in forming a new group.
 
     Raises:
         DiskFailedError: The files can't be read or written.
@@ -51,7 +54,7 @@
     try:
         identity = storage.read_identity()
         if identity is None:
-            identity = _make_identity(replica, random, may_form=True)
+            identity = _make_identity(replica, random, may_form=may_found)
             storage.write_identity(identity)
         stored = storage.load()
     except LogCorruptError as error:
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -1,6 +1,7 @@
 """One replica of one group from opening its files until they fail."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any, Generic
 
 import anyio
@@ -39,6 +40,7 @@
     Received,
     TickDue,
     TransferLead,
+    UseSeeds,
     WriteDone,
     WriteFailed,
 )
@@ -72,6 +74,28 @@
     """The first membership was written; the files must be opened anew."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _LeadQuestion:
+    """A question whether this replica leads.
+
+    Attributes:
+        reply: Takes the answer.
+        since_s: A quorum must have answered a message that was sent later, in seconds of monotonic
+            time; None relies on the lease.
+    """
+
+    reply: ReplySlot[None]
+    since_s: float | None
+
+    def is_answered_by(self, contact_s: float | None) -> bool:
+        """Return whether a valid lease with this contact proves the lead.
+
+        Args:
+            contact_s: Latest time whose messages a quorum has answered, in seconds; None if none.
+        """
+        return self.since_s is None or (contact_s is not None and contact_s > self.since_s)
+
+
 class GroupSession(Generic[CommandT, ResultT, SnapshotT]):
     """Performs the effects of one member and answers questions about it.
 
@@ -85,6 +109,7 @@
         host: The state machine; it has been restored from the loaded snapshot.
         subscribers: Inboxes to tell of each change of the state machine.
         number: Number of this session in the process.
+        seeds: Link addresses of control hosts that the settings name now; None for the context's.
         placed: Replicas that are to hold the group; None for all peers.
     """
 
@@ -100,6 +125,7 @@
         host: MachineHost[CommandT, ResultT, SnapshotT],
         subscribers: Sequence[Mailbox[GroupApplied]],
         number: int,
+        seeds: Mapping[ReplicaId, str] | None = None,
         placed: tuple[ReplicaId, ...] | None = None,
     ) -> None:
         self._context = context
@@ -116,8 +142,9 @@
             ),
             identity=identity,
             stored=stored,
-            peers=context.peers,
+            peers=context.peers if seeds is None else seeds,
             placed=placed,
+            discovery=context.discovery,
             timing=context.timing,
             random=context.random,
             now_s=context.timers.read_now_s(),
@@ -132,7 +159,7 @@
             metrics=context.metrics,
         )
         self._applier = Applier(host=host, limits=context.limits)
-        self._lead_questions: list[ReplySlot[None]] = []
+        self._lead_questions: list[_LeadQuestion] = []
         self._failure: SamphireError | None = None
 
     async def run(self) -> None:
@@ -176,7 +203,9 @@
             case ProposePayload():
                 self._on_propose(message, now_s)
             case ConfirmLead():
-                self._lead_questions.append(message.reply)
+                self._on_confirm_lead(message, now_s)
+            case UseSeeds():
+                self._member.use_seeds(message.seeds)
             case ReadMachine():
                 _answer(message.reply, message.view)
             case ReadStatus():
@@ -198,6 +227,13 @@
         else:
             self._applier.wait_for(self._replica.propose(message.payload), message.reply)
 
+    def _on_confirm_lead(self, message: ConfirmLead, now_s: float) -> None:
+        since_s = now_s if message.by_round else None
+        self._lead_questions.append(_LeadQuestion(reply=message.reply, since_s=since_s))
+        leadership = self._replica.leadership
+        if message.by_round and leadership is not None:
+            leadership.ask_for_contact()
+
     def _on_change(self, message: ChangeMembership, now_s: float) -> None:
         if not self._replica.may_propose(now_s):
             message.reply.fail(self._make_not_leader_error())
@@ -300,16 +336,22 @@
     # Answers.
 
     def _answer_lead_questions(self) -> None:
-        if self._replica.has_lease(self._timers.read_now_s()):
-            for reply in self._lead_questions:
-                reply.reply(None)
-            self._lead_questions.clear()
+        now_s = self._timers.read_now_s()
+        if self._replica.has_lease(now_s):
+            contact_s = self._replica.find_contact_s(now_s)
+            open_questions = []
+            for question in self._lead_questions:
+                if question.is_answered_by(contact_s):
+                    question.reply.reply(None)
+                else:
+                    open_questions.append(question)
+            self._lead_questions = open_questions
         elif self._replica.leadership is None:
             self._fail_lead_questions(self._make_not_leader_error())
 
     def _fail_lead_questions(self, error: SamphireError) -> None:
-        for reply in self._lead_questions:
-            reply.fail(error)
+        for question in self._lead_questions:
+            question.reply.fail(error)
         self._lead_questions.clear()
 
     def _make_not_leader_error(self) -> SamphireError:
--- a/src/samphirespring/process/replication/state_machine.py
+++ b/src/samphirespring/process/replication/state_machine.py
@@ -105,9 +105,13 @@
         """
 
     @abstractmethod
-    async def confirm_lead(self) -> None:
+    async def confirm_lead(self, *, by_round: bool = False) -> None:
         """Return once this replica leads under a valid lease and has applied all commits.
 
+        Args:
+            by_round: Whether a quorum must answer a message sent after the call; the lease alone
+                doesn't notice that the host was suspended.
+
         Raises:
             NotLeaderError: Another replica leads, or none.
             NoQuorumError: The lease can't be renewed.
@@ -142,7 +146,7 @@
         self._index += 1
         return self._machine.apply(index=LogIndex(self._index), command=command)
 
-    async def confirm_lead(self) -> None:
+    async def confirm_lead(self, *, by_round: bool = False) -> None:
         """Return at once: the only replica leads."""
 
     async def read(self, view: Callable[[], ViewT]) -> ViewT:
--- a/src/samphirespring/process/retry_budget.py
+++ b/src/samphirespring/process/retry_budget.py
@@ -53,16 +53,20 @@
     """Counts a service's requests and additional attempts over a decaying window.
 
     Over a long time, additional attempts of one kind stay within
-    `share * requests + floor / WINDOW_S * time + floor`, on average over many fronts. What is left
+    `share * requests + floor / window_s * time + floor`, on average over many fronts. What is left
     below one attempt is drawn for and spent either way: at thousands of fronts with few requests
     each, none would ever save up a whole attempt.
 
     Args:
         now_s: Monotonic time, in seconds.
         generator: Source of random numbers.
+        window_s: Time in which what is counted loses most of its weight, in seconds.
     """
 
-    def __init__(self, *, now_s: float, generator: random.Random) -> None:
+    def __init__(
+        self, *, now_s: float, generator: random.Random, window_s: float = WINDOW_S
+    ) -> None:
+        self.window_s = window_s
         self._requests = 0.0
         self._spent = dict.fromkeys(RetryKind, 0.0)
         self._counted_s = now_s
@@ -121,7 +125,7 @@
         )
 
     def _decay(self, now_s: float) -> None:
-        factor = math.exp(-max(0.0, now_s - self._counted_s) / WINDOW_S)
+        factor = math.exp(-max(0.0, now_s - self._counted_s) / self.window_s)
         self._counted_s = now_s
         self._requests *= factor
         for kind in self._spent:
--- a/src/samphirespring/process/settings.py
+++ b/src/samphirespring/process/settings.py
@@ -170,6 +170,20 @@
     """Failure domain of the host, which places the ledger's groups; null for one of its own."""
 
 
+class DiscoverySettings(_Part, frozen=True, kw_only=True):
+    """How control hosts find each other where the settings name only some of them."""
+
+    seeds: Annotated[tuple[ListenAddress, ...], msgspec.Meta(min_length=1)]
+    """Link addresses of some control hosts, the same on all hosts at the first start."""
+
+    first_start: bool = False
+    """Whether the whole fleet starts for the first time; only then an empty folder may be part of
+    a new group."""
+
+    voters: Annotated[int, msgspec.Meta(ge=1, le=15)] = 5
+    """Voters that each group grows to."""
+
+
 class ControlSettings(_Part, frozen=True, kw_only=True):
     """Settings of `samphire-control`."""
 
@@ -185,8 +199,12 @@
     operator_listen: ListenAddress
     """`IP:port` for operators' HTTP."""
 
-    peers: Annotated[tuple[ReplicaPeer, ...], msgspec.Meta(min_length=1)]
-    """All control hosts, this one included."""
+    peers: tuple[ReplicaPeer, ...] = ()
+    """All control hosts, this one included; empty where `discovery` finds them."""
+
+    discovery: DiscoverySettings | None = None
+    """How control hosts find each other; null takes `peers`. With it, `replica` must be the host's
+    link address."""
 
     data_folder: str
     """Folder that keeps the replicated state; the only one that is written."""
@@ -212,7 +230,11 @@
     """Where metrics go; null sends none."""
 
     def __post_init__(self) -> None:
-        """Compare the host's two descriptions of where it stands."""
+        """Compare the fields that depend on each other."""
+        if bool(self.peers) is (self.discovery is not None):
+            raise ValueError("either `peers` or `discovery` is needed, and not both")
+        if self.discovery is not None and self.replica != self.link_listen:
+            raise ValueError("with `discovery`, `replica` must be the same as `link_listen`")
         for peer in self.peers:
             if peer.replica != self.replica:
                 continue
--- a/src/samphirespring/process/traffic_gate.py
+++ b/src/samphirespring/process/traffic_gate.py
@@ -22,7 +22,12 @@
     LimitedRequest,
     RefusalJournal,
 )
-from samphirespring.process.retry_budget import RetryBudget, RetryBudgetDump, RetryKind
+from samphirespring.process.retry_budget import (
+    WINDOW_S,
+    RetryBudget,
+    RetryBudgetDump,
+    RetryKind,
+)
 from samphirespring.process.tasks import OwnerTask, PagedDump
 from samphirespring.process.timers import TimerService
 from samphirespring.version.document import RateLimit, ServicePolicy
@@ -51,6 +56,7 @@
     """Name of the route, unique in the document."""
 
     route_limit: RateLimit | None
+    retry_window_s: float = WINDOW_S
     reply: ReplySlot[float]
     """0.0 if it may go on; else the wait until it may, in seconds."""
 
@@ -181,7 +187,9 @@
         if wait_s > 0.0:
             self._limited += 1
         else:
-            self._find_budget(message.service, now_s).count_request(now_s=now_s)
+            budget = self._find_budget(message.service, now_s)
+            budget.window_s = message.retry_window_s
+            budget.count_request(now_s=now_s)
         return wait_s
 
     def _take_tokens(self, message: AdmitRequest, now_s: float) -> float:
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -170,6 +170,7 @@
         body=request.body,
         remaining_ms=remaining_ms,
         priority=policy.priority,
+        rank=policy.rank,
         idempotent=policy.idempotent,
         answer=policy.answer,
         terms=candidate.terms,
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from samphirespring.connection.refusals import RefusalReader, TypedRefusal
+from samphirespring.connection.refusals import TypedRefusal
 from samphirespring.connection.upstream import Upstream, UpstreamError
 from samphirespring.process.action_guard import EndAction
 from samphirespring.process.admission_queue import Admission
@@ -51,7 +51,7 @@
         self._wait = wait
         self._admission = admission
         self._upstream = upstream
-        self._refusal = RefusalReader()
+        self._refusal = upstream.make_refusal_reader()
         self._timers = timers
         self._inspector = AnswerInspector(request.answer, bodyless=request.method == b"HEAD")
         self._capture = AnswerCapture()
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -38,6 +38,9 @@
     """Time left until the caller's deadline, in milliseconds."""
 
     priority: PriorityClass
+    rank: int = 0
+    """Order among waiting attempts of the same class; lower ones go first."""
+
     idempotent: bool
     answer: AnswerCheck
     incarnation: Incarnation | None = None
--- a/src/samphirespring/request/states.py
+++ b/src/samphirespring/request/states.py
@@ -37,5 +37,8 @@
     WRONG = "wrong"
     LINK_LOST = "link_lost"
     CANCELLED = "cancelled"
+    MISMATCH = "mismatch"
+    """The answer on the connection belongs to another request."""
+
     DUPLICATE = "duplicate"
     """A copy of the attempt started before: this one doesn't, and proves nothing."""
--- a/src/samphirespring/version/compilation.py
+++ b/src/samphirespring/version/compilation.py
@@ -29,7 +29,7 @@
     WorkspaceId,
 )
 from samphirespring.version.interning import PolicyInterner
-from samphirespring.version.routes import CompiledDocument, Route, order_routes
+from samphirespring.version.routes import CompiledDocument, Route, RoutePart, order_routes
 from samphirespring.version.section_set import SectionSet, StoredSection, store_section
 from samphirespring.version.stamp import DocumentStamp
 from samphirespring.version.workspace_table import (
@@ -259,14 +259,30 @@
         for hosts in _split(tuple(routes_by_host), HOSTS_PER_STEP):
             for host in hosts:
                 routes = routes_by_host[host]
-                if any(route.policy.service in changed for route in routes):
+                if any(not changed.isdisjoint(route.services) for route in routes):
                     routes_by_host[host] = tuple(
                         self._make_route(route.section, route.policy) for route in routes
                     )
             yield None
 
     def _make_route(self, section: SectionName, policy: RoutePolicy) -> Route:
-        return Route(policy=policy, service=self._services[policy.service], section=section)
+        return Route(
+            policy=policy,
+            service=self._services[policy.service],
+            section=section,
+            parts=self._make_parts(section, policy),
+        )
+
+    def _make_parts(self, section: SectionName, policy: RoutePolicy) -> tuple[RoutePart, ...]:
+        total = sum(policy.split.values())
+        end = 0
+        parts: list[RoutePart] = []
+        for service, weight in policy.split.items():
+            end += weight
+            alone = msgspec.structs.replace(policy, service=service, split={})
+            route = Route(policy=alone, service=self._services[service], section=section)
+            parts.append(RoutePart(route=route, end=end / total))
+        return tuple(parts)
 
 
 def compile_sections(sections: SectionSet) -> CompiledDocument:
--- a/src/samphirespring/version/cross_index.py
+++ b/src/samphirespring/version/cross_index.py
@@ -22,7 +22,9 @@
 @dataclass(slots=True)
 class _SectionNames:
     services: frozenset[ServiceName]
-    route_services: tuple[ServiceName, ...]
+    route_services: tuple[tuple[ServiceName, ...], ...]
+    """Services of each route."""
+
     route_keys: frozenset[RouteKey]
     workspaces: frozenset[WorkspaceId]
 
@@ -46,7 +48,7 @@
         self.remove(name)
         names = _SectionNames(
             services=frozenset(section.services),
-            route_services=tuple(route.service for route in section.routes),
+            route_services=tuple(route.services for route in section.routes),
             route_keys=frozenset(key for route in section.routes for key in list_keys(route)),
             workspaces=frozenset(section.workspaces),
         )
@@ -107,9 +109,10 @@
             section: Its content.
         """
         return [
-            f"unknown service `{route.service}` - at `$.{name}.routes[{position}].service`"
+            f"unknown service `{service}` - at `$.{name}.routes[{position}].service`"
             for position, route in enumerate(section.routes)
-            if route.service not in section.services and self._lacks(route.service, without=name)
+            for service in route.services
+            if service not in section.services and self._lacks(service, without=name)
         ]
 
     def find_orphans(self, name: SectionName, section: TeamSection | None) -> list[str]:
@@ -130,7 +133,8 @@
             f"unknown service `{service}` - at `$.{other}.routes[{position}].service`"
             for other, entry in self._sections.items()
             if other != name
-            for position, service in enumerate(entry.route_services)
+            for position, services in enumerate(entry.route_services)
+            for service in services
             if service in lost
         ]
 
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -20,6 +20,9 @@
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0.0)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
+AIM_MARGIN_MS = 60_000
+"""An aim so far above its route's deadline is a mistake, in milliseconds."""
+
 ACCESS_SECTION = SectionName("access")
 FLEET_SECTION = SectionName("fleet")
 
@@ -31,7 +34,7 @@
 class RetryPolicy(_Part, frozen=True, kw_only=True, gc=False):
     """When and how often attempts of a request may be repeated."""
 
-    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 3
     """Attempts of one request, the first included."""
 
     execution_reserve_ms: Milliseconds = 50
@@ -106,7 +109,10 @@
     """Retries and hedges allowed per request, over the service's recent requests."""
 
     retry_floor: PositiveFloat = 12.0
-    """Retries and hedges that all fronts together may add in a minute beyond the share."""
+    """Retries and hedges that all fronts together may add in a window beyond the share."""
+
+    retry_window_s: PositiveFloat = 60.0
+    """Time in which a request or a spent retry loses most of its weight, in seconds."""
 
     slow_start_s: PositiveFloat = 10.0
     """Time in which a new or returning target reaches its full share, in seconds."""
@@ -130,13 +136,23 @@
     service: ServiceName
     """Service that takes the requests."""
 
+    split: dict[ServiceName, PositiveInt] = {}
+    """Weights of the services that share the requests; empty sends all to `service`, which must
+    be one of them."""
+
     idempotent: bool = False
     """Whether a request may run more than once."""
 
     priority: PriorityClass = PriorityClass.INTERACTIVE
     """Class of the requests; `helper` is shed first and never hedged."""
 
-    deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=3_600_000)] = 5_000
+    rank: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    """Order among waiting requests of the same class; lower ones go first."""
+
+    aim_ms: Milliseconds = 0
+    """Time within which an answer is worth most, in milliseconds; 0 states none."""
+
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=600_000)] = 5_000
     """Longest time for a request that brings no deadline, in milliseconds."""
 
     retry: RetryPolicy = RetryPolicy()
@@ -151,6 +167,18 @@
     limit: RateLimit | None = None
     """Limit of each workspace on this route."""
 
+    def __post_init__(self) -> None:
+        """Compare the fields that depend on each other."""
+        if self.split and self.service not in self.split:
+            raise ValueError("`service` is none of the services in `split`")
+        if self.aim_ms >= self.deadline_ms + AIM_MARGIN_MS:
+            raise ValueError("`aim_ms` is a minute or more above `deadline_ms`")
+
+    @property
+    def services(self) -> tuple[ServiceName, ...]:
+        """All services that may take the requests."""
+        return tuple(self.split) if self.split else (self.service,)
+
 
 class WorkspacePolicy(_Part, frozen=True, kw_only=True, gc=False):
     """Limits of one workspace."""
@@ -206,9 +234,31 @@
     """Replicated groups that the shards are spread over."""
 
 
+class CallerConnectionPolicy(_Part, frozen=True, kw_only=True, gc=False):
+    """What callers' connections may bring, and how long they may stay idle.
+
+    The settings' bounds hold as well; the smaller one counts.
+    """
+
+    header_bytes: PositiveInt = 1 << 16
+    """Largest head of a request, in bytes."""
+
+    body_bytes: PositiveInt = 1 << 30
+    """Largest body of a request, in bytes."""
+
+    header_timeout_ms: Milliseconds = 60_000
+    """Longest time in which the head of a request arrives, in milliseconds."""
+
+    idle_timeout_ms: Milliseconds = 75_000
+    """Longest time that a connection stays open between two requests, in milliseconds."""
+
+
 class FleetSection(_Part, frozen=True, kw_only=True, gc=False):
     """What holds for the whole fleet."""
 
+    caller_connections: CallerConnectionPolicy = CallerConnectionPolicy()
+    """Bounds on callers' connections."""
+
     workspace_header: Name = "x-workspace"
     """Request header that names the caller's workspace."""
 
@@ -224,8 +274,9 @@
     ledger_shards: Annotated[int, msgspec.Meta(ge=1, le=4_096)] = 64
     """Parts that workspaces are spread over in the action ledger; fixed by the first document."""
 
-    ledger_groups: Annotated[int, msgspec.Meta(ge=1, le=256)] = 2
-    """Replicated groups that the shards are spread over; fixed by the first document."""
+    ledger_groups: Annotated[int, msgspec.Meta(ge=0, le=256)] = 2
+    """Replicated groups that the shards are spread over; fixed by the first document. 0 keeps no
+    ledger: actions with a key are refused."""
 
     subset_size: PositiveInt = 20
     """Targets of one service that a front considers, where the service has more."""
--- a/src/samphirespring/version/ids.py
+++ b/src/samphirespring/version/ids.py
@@ -16,5 +16,8 @@
 ChangeId = NewType("ChangeId", str)
 """Chosen by the operator's client; a resend of the same change carries the same id."""
 
+Revision = NewType("Revision", int)
+"""Number that an operator gives to a document which it submits as a whole; 0 stands before all."""
+
 Generation = NewType("Generation", int)
 """Founding of a group of control hosts, in nanoseconds of wall time; a later founding is higher."""
--- a/src/samphirespring/version/routes.py
+++ b/src/samphirespring/version/routes.py
@@ -22,6 +22,32 @@
     policy: RoutePolicy
     service: ServicePolicy
     section: SectionName
+    parts: tuple["RoutePart", ...] = ()
+    """Where services share the requests: the route to each of them."""
+
+    @property
+    def services(self) -> tuple[ServiceName, ...]:
+        """All services that may take the requests."""
+        return self.policy.services
+
+    def choose_part(self, position: float) -> "Route":
+        """Return the route to one of the services that share the requests.
+
+        Args:
+            position: From 0.0 to below 1.0; evenly spread ones give each service its share.
+        """
+        for part in self.parts:
+            if position < part.end:
+                return part.route
+        return self.parts[-1].route if self.parts else self
+
+
+class RoutePart(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """The route to one of the services that share the requests."""
+
+    route: Route
+    end: float
+    """Sum of the shares up to this one."""
 
 
 class CompiledDocument:
--- a/src/samphirespring/version/section_set.py
+++ b/src/samphirespring/version/section_set.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from samphirespring.process.errors import ErrorCode, InternalError, SamphireError
-from samphirespring.version.ids import DocumentVersion, SectionName, SectionVersion
+from samphirespring.version.ids import (
+    DocumentVersion,
+    Generation,
+    SectionName,
+    SectionVersion,
+)
 from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
 SECTION_BYTES = 1 << 20
@@ -100,6 +105,41 @@
             floor=self.floor,
         )
 
+    def replace_all(
+        self, texts: Mapping[SectionName, bytes], *, generation: Generation
+    ) -> "SectionSet":
+        """Return the next version, with the given sections and no others.
+
+        A section whose text stays the same keeps its version.
+
+        Args:
+            texts: JSON text of each section.
+            generation: Number of the founding, for a set that has none yet.
+        """
+        stamp = self.stamp
+        if stamp == NO_STAMP:
+            stamp = msgspec.structs.replace(stamp, generation=generation)
+        version = DocumentVersion(stamp.version + 1)
+        sections: dict[SectionName, StoredSection] = {}
+        for name, text in texts.items():
+            known = self.sections.get(name)
+            if known is not None and known.digest == hashlib.sha256(text).digest():
+                sections[name] = known
+            else:
+                sections[name] = store_section(name, text, version=SectionVersion(version))
+        gone = [name for name in self.sections if name not in sections]
+        added = tuple(Tombstone(name=name, version=SectionVersion(version)) for name in gone)
+        kept = tuple(entry for entry in self.tombstones if entry.name not in sections)
+        tombstones = (*kept, *added)
+        forgotten = tombstones[:-MAX_TOMBSTONES]
+        floor = self.floor if self.stamp != NO_STAMP else version
+        return SectionSet(
+            stamp=msgspec.structs.replace(stamp, version=version),
+            sections=sections,
+            tombstones=tombstones[-MAX_TOMBSTONES:],
+            floor=DocumentVersion(forgotten[-1].version) if forgotten else floor,
+        )
+
     def remove_section(self, name: SectionName) -> "SectionSet":
         """Return the next version, without one section.
 
