--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -73,11 +73,25 @@
 class _EmbeddedServer(uvicorn.Server):
     """Server inside a process that handles signals itself."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._exit_asked = anyio.Event()
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the process's signal handlers alone."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait for the end, without the library's ten looks a second."""
+        await self.on_tick(0)
+        await self._exit_asked.wait()
+
+    def ask_to_exit(self) -> None:
+        """End after the requests that are on their way."""
+        self.should_exit = True
+        self._exit_asked.set()
+
 
 class HttpServer:
     """One listening HTTP server of the process.
@@ -87,7 +101,7 @@
         listeners: The listening sockets, which the server closes.
     """
 
-    def __init__(self, server: uvicorn.Server, listeners: Sequence[socket.socket]) -> None:
+    def __init__(self, server: _EmbeddedServer, listeners: Sequence[socket.socket]) -> None:
         self._server = server
         self._listeners = listeners
         self.draining = False
@@ -117,7 +131,7 @@
         self.stop_listening()
         # A connection that was just accepted gets time to bring its request.
         await anyio.sleep(ACCEPTED_SETTLE_S)
-        self._server.should_exit = True
+        self._server.ask_to_exit()
 
 
 class _DrainingApp:
--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -13,6 +13,7 @@
     RetryPolicy,
     RoutePolicy,
     ServicePolicy,
+    SuspicionPolicy,
     TeamSection,
 )
 from samphirespring.version.ids import Revision, SectionName, ServiceName
@@ -33,12 +34,14 @@
         retry_share: Additional attempts allowed per request.
         retry_floor: Additional attempts of all fronts in a window beyond that share.
         retry_window_s: Length of the window, in seconds.
+        suspicion: How targets fall into short faults.
     """
 
     floor: float = 0.7
     retry_share: float = 0.1
     retry_floor: float = 12.0
     retry_window_s: float = 60.0
+    suspicion: SuspicionPolicy = SuspicionPolicy(share=0.3, span_s=2.7)
 
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
@@ -170,6 +173,7 @@
     return ServicePolicy(
         floor=terms.floor,
         detection=DetectionPolicy(mode=DetectionMode.FAST),
+        suspicion=terms.suspicion,
         retry_share=terms.retry_share,
         retry_floor=terms.retry_floor,
         retry_window_s=terms.retry_window_s,
--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -40,11 +40,11 @@
 from samphirespring.process.targets import HostRecord, Locality, TargetLoad, TargetRecord
 from samphirespring.process.tasks import OwnerTask
 from samphirespring.process.timers import TimerService
-from samphirespring.request.messages import AttemptRefused
+from samphirespring.request.messages import AttemptRefused, AttemptRequest
 from samphirespring.request.states import RefusalCode
 
 INBOX_CAPACITY = 10_000
-EXPIRY_INTERVAL_S = 0.25
+EXPIRY_INTERVAL_S = 0.5
 REPORTED_WEIGHTS = {TargetCondition.TRIAL: TRIAL_WEIGHT, TargetCondition.SLOW_START: 0.5}
 """Weights in the registry, where they don't follow a slow start's progress."""
 
@@ -138,7 +138,7 @@
                 AttemptRefused(attempt=request.attempt, code=RefusalCode.UNKNOWN_TARGET)
             )
             return
-        code = self._find_refusal(target, request.remaining_ms)
+        code = self._find_refusal(target, request.remaining_ms) or self._find_doubt(target, request)
         if code is None and target.running >= target.slots:
             code = self._let_wait(target, message)
         elif code is None:
@@ -157,6 +157,12 @@
             return RefusalCode.STALE_DOCUMENT
         return None
 
+    def _find_doubt(self, target: LocalTarget, request: AttemptRequest) -> RefusalCode | None:
+        suspicion = target.suspicion
+        if suspicion is None or suspicion.admits(request, now_s=self._timers.read_now_s()):
+            return None
+        return RefusalCode.SUSPECT
+
     def _let_wait(self, target: LocalTarget, message: AdmitAttempt) -> RefusalCode | None:
         now_s = self._timers.read_now_s()
         deadline_s = now_s + message.request.remaining_ms / 1_000
@@ -180,8 +186,13 @@
         self._policies.use(message)
         for target in self._targets.values():
             target.slots = self._policies.find_slots(target.announcement)
+            self._follow_faults(target)
             self._start_waiting(target)
 
+    def _follow_faults(self, target: LocalTarget) -> None:
+        model = self._policies.find_fault_model(target.announcement.service)
+        target.use_fault_model(model, now_s=self._timers.read_now_s())
+
     def _start_waiting(self, target: LocalTarget) -> None:
         while target.running < target.slots:
             waiter = target.queue.take_next(now_s=self._timers.read_now_s())
@@ -207,6 +218,8 @@
         now_s = self._timers.read_now_s()
         target.judge.use_terms(message.terms, now_s=now_s)
         if message.outcome is not None:
+            if target.suspicion is not None:
+                target.suspicion.observe(message.outcome, now_s=now_s)
             self._watch.observe(
                 target.judge.health,
                 Observation(
@@ -280,6 +293,7 @@
             )
             target.start_cold(announcement, now_s)
             self._targets[target_id] = target
+            self._follow_faults(target)
         else:
             target.renew(announcement, slots=slots, expires_s=expires_s, now_s=now_s)
 
--- /dev/null
+++ b/src/samphirespring/process/detection/models.py
@@ -0,0 +1,16 @@
+"""Models of faults from the policies of services."""
+
+from samphirespring.process.detection.fault_risk import FaultModel
+from samphirespring.version.document import ServicePolicy
+
+
+def make_fault_model(policy: ServicePolicy) -> FaultModel | None:
+    """Return how a service's targets fail, or None where short faults aren't followed.
+
+    Args:
+        policy: The service's policy.
+    """
+    suspicion = policy.suspicion
+    if suspicion is None:
+        return None
+    return FaultModel(share=suspicion.share, span_s=suspicion.span_s)
--- a/src/samphirespring/process/document/reporter.py
+++ b/src/samphirespring/process/document/reporter.py
@@ -13,7 +13,7 @@
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 1.0
 """Time between two looks at what changed, in seconds."""
 
 RENEW_INTERVAL_S = 10.0
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -8,6 +8,7 @@
 from samphirespring.process.action_runner import ActionRunner
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.metric_names import Counter, Timing
+from samphirespring.process.request_log import RequestLog
 from samphirespring.process.target_table import UsePolicies, UseSubsetSize
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.traffic_gate import AdmitRequest
@@ -74,6 +75,7 @@
         self._actions = actions
         self._runner = runner
         self._compiled: CompiledDocument | None = None
+        self._request_log = RequestLog(context.timers)
         self._splits = SplitSequence(context.generator)
         self._in_flight = 0
         self._served = 0
@@ -140,7 +142,28 @@
                 document_version=compiled.version,
                 writer=writer,
             )
+            await self._run_exchange(exchange, request, route)
+
+    async def _run_exchange(self, exchange: Exchange, request: CallerRequest, route: Route) -> None:
+        started_s = self._context.timers.read_now_s()
+        end = "left"
+        try:
             await exchange.run()
+            end = "answered"
+        except RequestError as error:
+            end = f"{error.code.value}:{error.outcome.value}"
+            raise
+        finally:
+            elapsed_s = self._context.timers.read_now_s() - started_s
+            self._request_log.write(
+                request=request.request,
+                service=route.policy.service,
+                route=f"{route.policy.host}{route.policy.path_prefix}",
+                document_version=None if self._compiled is None else self._compiled.version,
+                end=end,
+                took_ms=round(elapsed_s * 1_000),
+                attempts=[trace.describe() for trace in exchange.traces],
+            )
 
     async def _serve_action(
         self,
--- a/src/samphirespring/process/local_policies.py
+++ b/src/samphirespring/process/local_policies.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 
 from samphirespring.process.agent_messages import Announcement, UsePolicies
+from samphirespring.process.detection.fault_risk import FaultModel
+from samphirespring.process.detection.models import make_fault_model
 from samphirespring.version.document import DetectionPolicy, ServicePolicy
 from samphirespring.version.ids import DocumentVersion, ServiceName
 
@@ -47,6 +49,14 @@
             return announcement.slots
         return self._services.get(announcement.service, DEFAULT_POLICY).slots
 
+    def find_fault_model(self, service: ServiceName) -> FaultModel | None:
+        """Return how a service's targets fail, or None where short faults aren't followed.
+
+        Args:
+            service: The service.
+        """
+        return make_fault_model(self._services.get(service, DEFAULT_POLICY))
+
     def find_detection(self, service: ServiceName) -> DetectionPolicy:
         """Return how a service's targets are judged and probed.
 
--- a/src/samphirespring/process/local_target.py
+++ b/src/samphirespring/process/local_target.py
@@ -6,9 +6,11 @@
 
 from samphirespring.process.admission_queue import Admission, AdmissionQueue
 from samphirespring.process.agent_messages import Announcement, LocalTargetDump
+from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.local_judge import LocalJudge
 from samphirespring.process.ids import TargetId
 from samphirespring.process.states import TargetPhase
+from samphirespring.process.suspicion import Suspicion
 from samphirespring.process.targets import TargetLoad
 from samphirespring.request.states import RefusalCode
 
@@ -26,6 +28,7 @@
         queue: Attempts that wait for a slot.
         withdrawn: Whether it left; it is forgotten once nothing runs.
         judge: Judges it by the evidence of its answers.
+        suspicion: Follows short faults, where the service's policy says so.
     """
 
     target: TargetId
@@ -33,6 +36,7 @@
     slots: int
     expires_s: float
     judge: LocalJudge
+    suspicion: Suspicion | None = None
     running: int = 0
     queue: AdmissionQueue = field(default_factory=AdmissionQueue)
     withdrawn: bool = False
@@ -67,6 +71,20 @@
         if announcement.cold_s != 0.0:
             self.judge.health.start_cold(now_s, span_s=announcement.cold_s)
 
+    def use_fault_model(self, model: FaultModel | None, *, now_s: float) -> None:
+        """Follow short faults by this model from now on.
+
+        Args:
+            model: How targets of the service fail; None follows none.
+            now_s: Monotonic time, in seconds.
+        """
+        if model is None:
+            self.suspicion = None
+        elif self.suspicion is None:
+            self.suspicion = Suspicion(model, now_s=now_s)
+        else:
+            self.suspicion.use_model(model, now_s=now_s)
+
     def withdraw(self) -> None:
         """Refuse new work from now on."""
         self.announcement = msgspec.structs.replace(self.announcement, phase=TargetPhase.DRAINING)
@@ -91,6 +109,7 @@
             slots=self.slots,
             severity=round(self.judge.health.read_severity(now_s), 3),
             weight=round(self.judge.health.read_weight(now_s), 3),
+            risk=None if self.suspicion is None else round(self.suspicion.read(now_s), 4),
             summary=self.judge.health.summarize(now_s),
         )
 
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -18,6 +18,8 @@
     LINK_MESSAGE_INVALID = "link_message_invalid"
     ENDPOINT_FAILED = "endpoint_failed"
     REQUEST_FAILED = "request_failed"
+    REQUEST_ENDED = "request_ended"
+    REQUEST_LINES_OMITTED = "request_lines_omitted"
     CONTROL_CALL_FAILED = "control_call_failed"
 
     # Targets and paths.
--- a/src/samphirespring/process/logs.py
+++ b/src/samphirespring/process/logs.py
@@ -1,10 +1,13 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line on standard output."""
 
 import logging
 import sys
+from typing import TextIO, cast
 
 import structlog
 
+from samphirespring.process.log_sink import LogSink
+
 
 def configure_logs(level: str) -> None:
     """Set up structlog for the process.
@@ -23,7 +26,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, _open_sink())),
         cache_logger_on_first_use=True,
     )
     # Libraries log through the standard module; their protocol warnings would go out as plain text.
@@ -31,3 +34,8 @@
     for name in ("uvicorn", "grpclib", "asyncio", "httpcore"):
         logging.getLogger(name).propagate = False
         logging.getLogger(name).addHandler(logging.NullHandler())
+
+
+def _open_sink() -> LogSink:
+    sys.stdout.flush()
+    return LogSink(sys.stdout.fileno())
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -64,7 +64,7 @@
 )
 from samphirespring.process.replication.writer import GroupWriter
 
-TICK_INTERVAL_S = 0.05
+TICK_INTERVAL_S = 0.1
 SNAPSHOT_CHUNK_BYTES = 256 << 10
 
 _log = EventLog()
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.ids import HostId, TargetId
 from samphirespring.process.targets import Locality, TargetLoad
 from samphirespring.request.selection import Candidate, Choice, is_usable
@@ -24,12 +25,29 @@
         others_free: Slots that would be free without this front's attempts, as last heard.
         heard_s: When that was heard, in seconds of monotonic time.
         in_flight: This front's attempts on the target.
+        risk: Probability of a fault as the agent last told; None before it did.
+        risk_s: When it told, in seconds of monotonic time.
     """
 
     candidate: Candidate
     others_free: float
     heard_s: float
     in_flight: int = 0
+    risk: float | None = None
+    risk_s: float = 0.0
+
+    def estimate_risk(self, model: FaultModel | None, now_s: float) -> float | None:
+        """Return the probability that the target is in a fault now.
+
+        Args:
+            model: How targets of the service fail; None if that isn't followed.
+            now_s: Monotonic time, in seconds.
+        """
+        if model is None:
+            return None
+        if self.risk is None:
+            return model.share
+        return model.age(self.risk, now_s - self.risk_s)
 
     def estimate_free_slots(self, now_s: float) -> float:
         """Return the free slots to expect: old news fades, own attempts count in full.
@@ -53,6 +71,9 @@
         # The attempt that brought the news no longer holds a slot.
         self.others_free = load.free_slots + max(0, self.in_flight - 1)
         self.heard_s = now_s
+        if load.risk is not None:
+            self.risk = load.risk
+            self.risk_s = now_s
 
 
 class ServicePool:
@@ -152,7 +173,12 @@
             member.in_flight -= 1
 
     def list_choices(
-        self, *, region_hosts: Collection[HostId], subset_size: int, now_s: float
+        self,
+        *,
+        region_hosts: Collection[HostId],
+        subset_size: int,
+        now_s: float,
+        model: FaultModel | None = None,
     ) -> Sequence[Sequence[Choice]]:
         """Return the targets that the front uses, by distance, with their expected free slots.
 
@@ -160,12 +186,17 @@
             region_hosts: Hosts with a front in the front's region.
             subset_size: Targets to use, where the service has more.
             now_s: Monotonic time, in seconds.
+            model: How targets of the service fail; None if that isn't followed.
         """
         if self._tiers is None:
             self._tiers = self._choose_tiers(region_hosts, subset_size)
         return [
             [
-                Choice(candidate=member.candidate, free_slots=member.estimate_free_slots(now_s))
+                Choice(
+                    candidate=member.candidate,
+                    free_slots=member.estimate_free_slots(now_s),
+                    risk=member.estimate_risk(model, now_s),
+                )
                 for member in tier
             ]
             for tier in self._tiers
--- a/src/samphirespring/process/stall_watch.py
+++ b/src/samphirespring/process/stall_watch.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+import anyio
+
 from samphirespring.process.agent_messages import AgentMessage, NoteStall
 from samphirespring.process.detection.local_judge import PoolTerms
 from samphirespring.process.detection.observations import Stall
@@ -85,6 +87,7 @@
         self._agent = agent
         self._timers = timers
         self._waits: set[AttemptWait] = set()
+        self._has_waits = anyio.Event()
 
     @contextmanager
     def track(self, wait: AttemptWait) -> Iterator[None]:
@@ -94,6 +97,7 @@
             wait: The attempt's wait.
         """
         self._waits.add(wait)
+        self._has_waits.set()
         try:
             yield
         finally:
@@ -101,8 +105,12 @@
 
     async def run(self) -> None:
         """Look at all attempts in flight at each tick, until cancelled."""
-        async for tick in self._timers.subscribe(interval_s=TICK_INTERVAL_S):
-            self.look(tick.now_s)
+        while True:
+            await self._has_waits.wait()
+            await self._timers.wait_for(TICK_INTERVAL_S)
+            self.look(self._timers.read_now_s())
+            if not self._waits:
+                self._has_waits = anyio.Event()
 
     def look(self, now_s: float) -> None:
         """Tell the agent what the attempts in flight show.
--- a/src/samphirespring/process/target_prober.py
+++ b/src/samphirespring/process/target_prober.py
@@ -19,7 +19,7 @@
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 
-TICK_INTERVAL_S = 0.25
+TICK_INTERVAL_S = 1.0
 
 _log = EventLog()
 
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from samphirespring.process.detection.fault_risk import FaultModel
+from samphirespring.process.detection.models import make_fault_model
 from samphirespring.process.document.relay_tree import Peer
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion, TargetId
@@ -34,6 +36,7 @@
 from samphirespring.process.tasks import OwnerTask, PagedDump
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_gate import TrafficMessage, UseFrontCount
+from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.selection import Candidate, Selector
 from samphirespring.version.document import FleetSection, ServicePolicy
 from samphirespring.version.ids import ServiceName
@@ -189,6 +192,8 @@
         self._traffic = traffic
         self._subset_size = FleetSection().subset_size
         self._advice = TargetAdvice(generator or random.Random())
+        self._risk_selector = RiskSelector(generator or random.Random())
+        self._models: dict[ServiceName, FaultModel] = {}
         self._shut_out: dict[ServiceName, frozenset[TargetId]] = {}
         self.probes: Mailbox[ProbePath] = Mailbox(name="path_prober", capacity=PROBE_CAPACITY)
         """Inbox of the path prober."""
@@ -212,7 +217,7 @@
                 case NotePath():
                     self._advice.note_path(message.host, reached=message.reached)
                 case UsePolicies():
-                    self._advice.use_policies(message.policies)
+                    self._use_policies(message.policies)
                 case UseSubsetSize():
                     self._use_subset_size(message.size)
                 case ApplyDelta():
@@ -280,9 +285,13 @@
         now_s = self._timers.read_now_s()
         service = message.service
         self._apply_ejections(pool, service, now_s)
+        model = self._models.get(service)
         tiers = self._advice.filter_tiers(
             pool.list_choices(
-                region_hosts=self._region_hosts, subset_size=self._subset_size, now_s=now_s
+                region_hosts=self._region_hosts,
+                subset_size=self._subset_size,
+                now_s=now_s,
+                model=model,
             ),
             service=service,
             idempotent=message.idempotent,
@@ -291,7 +300,12 @@
         )
         if message.reply.abandoned:
             return None
-        candidate = self._selector.choose(tiers, tried=message.tried)
+        if model is None:
+            candidate = self._selector.choose(tiers, tried=message.tried)
+        else:
+            candidate = self._risk_selector.choose(
+                tiers, tried=message.tried, idempotent=message.idempotent
+            )
         if candidate is None:
             return None
         pool.take(candidate.target)
@@ -339,6 +353,11 @@
                 now_s=now_s,
             )
 
+    def _use_policies(self, policies: Mapping[ServiceName, ServicePolicy]) -> None:
+        self._advice.use_policies(policies)
+        models = {service: make_fault_model(policy) for service, policy in policies.items()}
+        self._models = {service: model for service, model in models.items() if model is not None}
+
     def _use_subset_size(self, size: int) -> None:
         if size != self._subset_size:
             self._subset_size = size
--- a/src/samphirespring/process/targets.py
+++ b/src/samphirespring/process/targets.py
@@ -36,6 +36,9 @@
     weight: float = 1.0
     """Share of its usual requests that the target should get."""
 
+    risk: float | None = None
+    """Probability that the target is in a fault; None if its agent doesn't say."""
+
     summary: TargetSummary | None = None
     """What the target adds to the pool's reference; goes with answers only."""
 
--- a/src/samphirespring/process/traffic_gate.py
+++ b/src/samphirespring/process/traffic_gate.py
@@ -38,6 +38,9 @@
 """Workspaces and pairs of workspace and route whose buckets one front holds."""
 
 SWEEP_INTERVAL_S = 0.25
+IDLE_INTERVAL_S = 1.0
+"""Time between two looks for buckets to sweep while there are none, in seconds."""
+
 WORKSPACE_GROUP = ""
 KEY_SEPARATOR = "\n"
 """Stands in no name of a route."""
@@ -256,8 +259,10 @@
         return budget
 
     async def _sweep(self) -> None:
-        async for tick in self._timers.subscribe(interval_s=SWEEP_INTERVAL_S):
-            self._limiter.sweep(now_s=tick.now_s)
+        while True:
+            has_buckets = self._limiter.bucket_count > 0
+            await self._timers.wait_for(SWEEP_INTERVAL_S if has_buckets else IDLE_INTERVAL_S)
+            self._limiter.sweep(now_s=self._timers.read_now_s())
 
     def _answer_page(self, message: ReadTrafficPage) -> None:
         cursor = message.request.cursor
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -173,5 +173,7 @@
         rank=policy.rank,
         idempotent=policy.idempotent,
         answer=policy.answer,
+        max_risk=candidate.max_risk,
+        may_try=candidate.may_try,
         terms=candidate.terms,
     )
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from samphirespring.process.ids import TargetId
 from samphirespring.process.mailbox import ask
 from samphirespring.process.metric_names import Counter
 from samphirespring.process.retry_budget import RetryKind
@@ -24,8 +25,9 @@
 from samphirespring.request.messages import AnswerEnd, AttemptEnd, AttemptFailed, AttemptRefused
 from samphirespring.request.retry import RetryDecision, RetryPlanner, RetryStep
 from samphirespring.request.selection import Candidate
-from samphirespring.request.states import FailureKind, Outcome
+from samphirespring.request.states import FailureKind, Outcome, RefusalCode
 from samphirespring.request.target_lease import lease_target
+from samphirespring.request.trace import AttemptTrace
 from samphirespring.version.ids import DocumentVersion
 from samphirespring.version.routes import Route
 
@@ -71,9 +73,15 @@
         )
         self._planner = RetryPlanner(route.policy, generator=context.generator)
         self._tried: list[Candidate] = []
+        self._suspected: set[TargetId] = set()
+        """Targets that refused because others were better; they may turn out to be the best."""
+
         self._open_attempts: dict[AttemptId, anyio.CancelScope] = {}
         self._may_have_run = False
+        self._started_s = context.timers.read_now_s()
         self._deadline = self._make_deadline()
+        self.traces: list[AttemptTrace] = []
+        """What was tried, for the log."""
 
     @property
     def attempt_count(self) -> int:
@@ -106,7 +114,7 @@
             step = self._planner.plan(end, left_ms=self._measure_left_ms())
             if step.decision is not RetryDecision.RETRY:
                 raise make_request_error(end, policy=self._policy)
-            if not await self._take_retry(_classify(end)):
+            if not _is_free(end) and not await self._take_retry(_classify(end)):
                 raise make_request_error(end, policy=self._policy)
             await self._wait(step)
 
@@ -124,7 +132,7 @@
         return await hedge.run()
 
     async def _run_attempt(self) -> AttemptEnd:
-        tried = frozenset(candidate.target for candidate in self._tried)
+        tried = frozenset(candidate.target for candidate in self._tried) - self._suspected
         async with lease_target(
             self._context.table,
             service=self._policy.service,
@@ -147,6 +155,8 @@
             remaining_ms=self._measure_left_ms(),
         )
         self._tried.append(candidate)
+        trace = AttemptTrace(candidate=candidate, started_ms=self._measure_age_ms())
+        self.traces.append(trace)
         self._outlet.attempt_count = self.attempt_count
         self._context.metrics.count(Counter.FRONT_ATTEMPTS)
         attempt = Attempt(self._context, message=message, candidate=candidate, outlet=self._outlet)
@@ -158,7 +168,11 @@
             self._open_attempts[message.attempt] = scope
             end = await attempt.run()
         del self._open_attempts[message.attempt]
+        trace.end = end
+        trace.ended_ms = self._measure_age_ms()
         self._note_end(end)
+        if isinstance(end, AttemptRefused) and end.code is RefusalCode.SUSPECT:
+            self._suspected.add(candidate.target)
         return end
 
     def _cancel_other_attempts(self, owner: AttemptId) -> None:
@@ -212,6 +226,9 @@
             caller_ms=self._request.deadline_ms,
         )
 
+    def _measure_age_ms(self) -> int:
+        return round((self._context.timers.read_now_s() - self._started_s) * 1_000)
+
     def _measure_left_ms(self) -> int:
         return self._deadline.measure_left_ms(self._context.timers.read_now_s())
 
@@ -235,6 +252,11 @@
         return "before a target was selected"
 
 
+def _is_free(end: AttemptRefused | AttemptFailed) -> bool:
+    """Return whether another attempt costs backend servers nothing: none was reached."""
+    return isinstance(end, AttemptRefused) and end.code is RefusalCode.SUSPECT
+
+
 def _classify(end: AttemptRefused | AttemptFailed) -> RetryKind:
     if isinstance(end, AttemptRefused) or not end.started:
         return RetryKind.REFUSED
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -43,6 +43,13 @@
 
     idempotent: bool
     answer: AnswerCheck
+    max_risk: float = 1.0
+    """Probability of a fault up to which the target is to run the attempt; the front knows of
+    another target that is as good."""
+
+    may_try: bool = False
+    """Whether the attempt may show if a suspect target serves again."""
+
     incarnation: Incarnation | None = None
     """For an action: the only incarnation of the agent that may start the attempt."""
 
--- a/src/samphirespring/request/retry.py
+++ b/src/samphirespring/request/retry.py
@@ -71,6 +71,7 @@
         RefusalCode.STALE_DOCUMENT,
         RefusalCode.UNKNOWN_TARGET,
         RefusalCode.EJECTED,
+        RefusalCode.SUSPECT,
         RefusalCode.FENCED,
     }
 )
--- /dev/null
+++ b/src/samphirespring/request/risk_selection.py
@@ -0,0 +1,120 @@
+"""Choice of the target for an attempt where short faults are usual.
+
+It answers a load in which, at any moment, some targets fail nearly all of their requests for a few
+seconds. Requests that can't be repeated go to the target that is least likely to be in a fault:
+mostly the one whose last good answer is the youngest. Reads, which can be repeated, also visit the
+others now and then, so that the risks stay known.
+"""
+
+import random
+from collections.abc import Collection, Sequence
+
+import msgspec
+
+from samphirespring.process.ids import TargetId
+from samphirespring.request.selection import Candidate, Choice, Distance
+
+DISTANCE_COSTS = {
+    Distance.SAME_HOST: 0.0,
+    Distance.SAME_FAILURE_DOMAIN: 0.002,
+    Distance.SAME_REGION: 0.004,
+    Distance.OTHER_REGION: 0.15,
+}
+"""What the way to a target costs, as a probability of failure that would be as bad."""
+
+BUSY_COST = 0.02
+"""Cost of a target whose slots are all taken but one; it falls with the free share."""
+
+FULL_COST = 0.3
+"""Cost of a target without a free slot."""
+
+TRIED_COST = 1.0
+"""Cost of a target that failed or refused the request before."""
+
+LEAST_MAX_RISK = 0.1
+"""Risk up to which no target refuses: looking for a better one would cost more."""
+
+VISIT_SHARE = 0.5
+"""Share of first attempts of reads that visit any near target instead of the best one."""
+
+VISIT_RISK = 0.5
+"""Risk from which a target isn't visited; its agent would mostly refuse."""
+
+
+class RiskSelector:
+    """Takes the target of least cost: its risk, its distance and its load.
+
+    Args:
+        generator: Source of random numbers.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def choose(
+        self,
+        tiers: Sequence[Sequence[Choice]],
+        *,
+        tried: Collection[TargetId],
+        idempotent: bool,
+    ) -> Candidate | None:
+        """Return the target for the next attempt, or None where none can serve.
+
+        Args:
+            tiers: Usable targets of the service by distance, nearest first.
+            tried: Targets that failed or refused the request before.
+            idempotent: Whether the request may be repeated.
+        """
+        costs = [
+            (_find_cost(choice, distance, tried), self._generator.random(), choice)
+            for distance, tier in zip(Distance, tiers, strict=True)
+            for choice in tier
+        ]
+        if not costs:
+            return None
+        is_first = not tried
+        visited = self._choose_visit(tiers) if idempotent and is_first else None
+        if visited is not None:
+            return _admit(visited, max_risk=1.0, may_try=True)
+        costs.sort()
+        _, _, best = costs[0]
+        max_risk = 1.0
+        if len(costs) > 1:
+            # The next best target costs this much more, apart from the risk of the best one.
+            room = costs[1][0] - (costs[0][0] - _read_risk(best))
+            max_risk = max(LEAST_MAX_RISK, room)
+        return _admit(best, max_risk=max_risk, may_try=idempotent and is_first)
+
+    def _choose_visit(self, tiers: Sequence[Sequence[Choice]]) -> Choice | None:
+        if self._generator.random() >= VISIT_SHARE:
+            return None
+        near = [
+            choice
+            for distance, tier in zip(Distance, tiers, strict=True)
+            if distance is not Distance.OTHER_REGION
+            for choice in tier
+            if choice.free_slots >= 1.0 and _read_risk(choice) < VISIT_RISK
+        ]
+        return self._generator.choice(near) if near else None
+
+
+def _admit(choice: Choice, *, max_risk: float, may_try: bool) -> Candidate:
+    return msgspec.structs.replace(
+        choice.candidate, risk=choice.risk, max_risk=max_risk, may_try=may_try
+    )
+
+
+def _read_risk(choice: Choice) -> float:
+    return 0.0 if choice.risk is None else choice.risk
+
+
+def _find_cost(choice: Choice, distance: Distance, tried: Collection[TargetId]) -> float:
+    cost = _read_risk(choice) + DISTANCE_COSTS[distance]
+    slots = choice.candidate.load.slots
+    if choice.free_slots < 1.0:
+        cost += FULL_COST
+    else:
+        cost += BUSY_COST * (1.0 - min(1.0, choice.free_slots / slots))
+    if choice.candidate.target in tried:
+        cost += TRIED_COST
+    return cost
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -33,12 +33,23 @@
     terms: PoolTerms | None = None
     """What its agent should judge it by."""
 
+    risk: float | None = None
+    """Probability of a fault that the front assumed when it chose the target."""
+
+    max_risk: float = 1.0
+    """Probability from which the front would rather use another target."""
+
+    may_try: bool = False
+    """Whether the attempt may show if the target serves again."""
+
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A candidate with the free slots that the front expects it to have now."""
 
     candidate: Candidate
     free_slots: float
+    risk: float | None = None
+    """Probability that it is in a fault now; None where the service's policy has no suspicion."""
 
 
 class Distance(IntEnum):
--- a/src/samphirespring/request/states.py
+++ b/src/samphirespring/request/states.py
@@ -22,6 +22,9 @@
     EXPIRED = "expired"
     UNKNOWN_TARGET = "unknown_target"
     EJECTED = "ejected"
+    SUSPECT = "suspect"
+    """Another target is more likely to serve the request."""
+
     FENCED = "fenced"
 
 
--- /dev/null
+++ b/src/samphirespring/request/trace.py
@@ -0,0 +1,48 @@
+"""What was decided on one request, for its line in the log."""
+
+from dataclasses import dataclass
+
+from samphirespring.request.messages import AnswerEnd, AttemptEnd, AttemptRefused
+from samphirespring.request.selection import Candidate
+
+
+@dataclass(slots=True, kw_only=True)
+class AttemptTrace:
+    """One attempt: what the front knew of the target, and what came of it.
+
+    Attributes:
+        candidate: The target as the front knew it.
+        started_ms: Time from the request's arrival to the attempt, in milliseconds.
+        ended_ms: The same for its end; None while it runs.
+        end: How it ended.
+    """
+
+    candidate: Candidate
+    started_ms: int
+    ended_ms: int | None = None
+    end: AttemptEnd | None = None
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of the attempt in the log."""
+        fields: dict[str, object] = {
+            "target": self.candidate.target,
+            "host": self.candidate.locality.host,
+            "condition": self.candidate.load.condition.value,
+            "from_ms": self.started_ms,
+            "to_ms": self.ended_ms,
+            "end": _name_end(self.end),
+        }
+        if self.candidate.risk is not None:
+            fields["risk"] = round(self.candidate.risk, 3)
+            fields["max_risk"] = round(self.candidate.max_risk, 3)
+        return fields
+
+
+def _name_end(end: AttemptEnd | None) -> str:
+    if end is None:
+        return "open"
+    if isinstance(end, AnswerEnd):
+        return "answered"
+    if isinstance(end, AttemptRefused):
+        return f"refused:{end.code.value}"
+    return f"failed:{end.kind.value}"
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -93,6 +93,16 @@
     """Time after which a probe without an answer has failed, in seconds."""
 
 
+class SuspicionPolicy(_Part, frozen=True, kw_only=True, gc=False):
+    """How targets fall into short faults, which decides where the next request goes."""
+
+    share: Annotated[float, msgspec.Meta(gt=0.0, lt=1.0)]
+    """Share of the targets that are in a fault at any time."""
+
+    span_s: PositiveFloat
+    """Mean length of a fault, in seconds."""
+
+
 class ServicePolicy(_Part, frozen=True, kw_only=True, gc=False):
     """What holds for all targets of one service."""
 
@@ -105,6 +115,10 @@
     detection: DetectionPolicy = DetectionPolicy()
     """How gray failures are judged."""
 
+    suspicion: SuspicionPolicy | None = None
+    """Where short faults are usual: requests leave a target at its first failure; null waits for
+    the evidence of `detection`."""
+
     retry_share: Share = 0.1
     """Retries and hedges allowed per request, over the service's recent requests."""
 
