Tell nodes of newer documents with the registry's replies, and ask failed sources again soon

Change: replies to reports carry the newest known version; a node that its sources leave behind asks the control hosts; failed sources are left out for 2 s. A departure without a start is remembered.

--- a/src/samphirespring/connection/registry_link.py
+++ b/src/samphirespring/connection/registry_link.py
@@ -5,6 +5,7 @@
 from samphirespring.connection.link_methods import UnaryMethod
 from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
 from samphirespring.process.targets import HostRecord, RegistryDelta
+from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
 
 class HostReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -42,6 +43,9 @@
     table_sources: tuple[str, ...] = ()
     """Link addresses of peers to ask for the whole table, which this reply then doesn't have."""
 
+    document: DocumentStamp = NO_STAMP
+    """Newest version of the document that the answering process knows of."""
+
     control_links: tuple[str, ...] = ()
     """Link addresses of all control hosts, if the sender of the batch knows others."""
 
--- a/src/samphirespring/process/announcement_order.py
+++ b/src/samphirespring/process/announcement_order.py
@@ -41,13 +41,15 @@
 
         Args:
             target: The target.
-            started_ms: Start of the backend server that leaves, in milliseconds; 0 for any.
+            started_ms: Start of the backend server that leaves, in milliseconds; 0 for the one
+                that was heard last.
         """
         known_ms = self._latest.get(target, (0, 0))[0]
         if started_ms and started_ms < known_ms:
             return False
-        if started_ms:
-            self._remember(target, (started_ms, WITHDRAWN))
+        # A target that names no start and no sequence can't be told from its next start.
+        if started_ms or known_ms:
+            self._remember(target, (max(started_ms, known_ms), WITHDRAWN))
         return True
 
     def _remember(self, target: TargetId, order: tuple[int, int]) -> None:
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -13,6 +13,7 @@
 )
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.process.agent_messages import AgentMessage, UsePolicies
+from samphirespring.process.control_client import ControlClient
 from samphirespring.process.document.compiler import DocumentCompiler
 from samphirespring.process.document.keeper import DocumentKeeper, NoteSourceHeard
 from samphirespring.process.document.relay_tree import Peer
@@ -29,6 +30,7 @@
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import FrontMessage, UseDocument
 from samphirespring.process.ids import FailureDomainName
+from samphirespring.process.latest import LatestValue
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ask
 from samphirespring.process.metric_names import Counter, Gauge
@@ -36,13 +38,16 @@
 from samphirespring.process.target_table import ReadPeers, TableMessage
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
-from samphirespring.version.section_set import SectionSet
+from samphirespring.version.section_set import DocumentDelta, SectionSet
 from samphirespring.version.stamp import DocumentStamp
 
 REPLY_MARGIN_S = 2.0
 """Time that a source gets beyond the wait it was asked for, in seconds."""
 
 FETCH_TIMEOUT_S = 10.0
+HINT_PATIENCE_S = 0.5
+"""How long the sources have to bring a version that others tell of, in seconds."""
+
 RETRY_S = 1.0
 """Mean wait after all sources failed, in seconds; each wait is jittered by half."""
 
@@ -74,6 +79,8 @@
         metrics: Where to count.
         wait_s: Longest wait for a notice, in seconds.
         source_random: Jitters retries.
+        control: Calls to the control hosts, where a hint isn't followed by news of the sources;
+            None ignores hints.
     """
 
     def __init__(
@@ -92,7 +99,13 @@
         metrics: Metrics,
         wait_s: float,
         source_random: random.Random,
+        control: ControlClient | None = None,
     ) -> None:
+        self.hints: LatestValue[DocumentStamp] = LatestValue()
+        """Versions that exist, as others tell."""
+
+        self._control = control
+        self._using = anyio.Lock()
         self._keeper = keeper
         self._saver = saver
         self._compiler = compiler
@@ -117,8 +130,10 @@
     async def run(self) -> None:
         """Use the saved document, then follow the sources until cancelled."""
         await self._use_saved()
-        while True:
-            await self._follow_once()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow_hints)
+            while True:
+                await self._follow_once()
 
     async def dump(self) -> DocumentFollowerDump:
         """Return the follower's state."""
@@ -150,6 +165,28 @@
         elif heard.notice.stamp > self._sections.stamp:
             await self._fetch(heard.address)
 
+    async def _follow_hints(self) -> None:
+        """Ask the control hosts for versions that exist and that the sources don't bring."""
+        if self._control is None:
+            return
+        while True:
+            hint = await self.hints.receive()
+            await self._timers.wait_for(HINT_PATIENCE_S)
+            while hint > self._sections.stamp:
+                try:
+                    await self._use_delta(await self._control.call(FETCH_DELTA, self._ask()))
+                except SamphireError as error:
+                    _log.info(LogEvent.DOCUMENT_HINT_NOT_FOLLOWED, code=error.code.value)
+                if hint > self._sections.stamp:
+                    await self._timers.wait_for(RETRY_S)
+
+    def _ask(self) -> FetchDelta:
+        return FetchDelta(known=self._sections.stamp)
+
+    async def _use_delta(self, delta: DocumentDelta) -> None:
+        async with self._using:
+            await self._use(await run_steps(self._sections.apply_delta_steps(delta)))
+
     async def _wait_for_notice(self, sources: Sources) -> HeardNotice | None:
         """Watch all sources; return the first higher notice, else any, or None if all failed."""
         heard: list[HeardNotice] = []
@@ -183,11 +220,10 @@
         return notice
 
     async def _fetch(self, address: str) -> None:
-        request = FetchDelta(known=self._sections.stamp)
         try:
             with self._links.use(address) as link:
-                delta = await link.call(FETCH_DELTA, request, timeout_s=FETCH_TIMEOUT_S)
-            await self._use(await run_steps(self._sections.apply_delta_steps(delta)))
+                delta = await link.call(FETCH_DELTA, self._ask(), timeout_s=FETCH_TIMEOUT_S)
+            await self._use_delta(delta)
         except SamphireError as error:
             self._note_failure(address, error)
 
--- a/src/samphirespring/process/document/keeper.py
+++ b/src/samphirespring/process/document/keeper.py
@@ -119,6 +119,11 @@
         """Name in dumps and logs."""
         return "document_keeper"
 
+    @property
+    def stamp(self) -> DocumentStamp:
+        """The newest version here."""
+        return self._sections.stamp
+
     async def run(self) -> None:
         """Serve messages, new versions and ticks until cancelled."""
         async with anyio.create_task_group() as group:
--- a/src/samphirespring/process/document/sources.py
+++ b/src/samphirespring/process/document/sources.py
@@ -8,9 +8,12 @@
 from samphirespring.process.document.relay_tree import Peer, choose_sources
 from samphirespring.process.ids import FailureDomainName, HostId
 
-SICK_S = 30.0
+SICK_S = 2.0
 """How long a source that failed is left out, in seconds."""
 
+STALE_SICK_S = 30.0
+"""How long a source is left out whose knowledge is too old, in seconds."""
+
 STALE_S = 45.0
 """A peer whose knowledge is older is left out, in seconds."""
 
@@ -132,7 +135,7 @@
         if kind is SourceKind.CONTROL:
             self._control_stale_until_s = now_s + CONTROL_STALE_S if is_stale else None
         elif kind is SourceKind.RELAY and is_stale and not self._is_control_stale(now_s):
-            self.note_failure(address, now_s=now_s)
+            self._sick_until_s[address] = now_s + STALE_SICK_S
 
     def _is_control_stale(self, now_s: float) -> bool:
         until_s = self._control_stale_until_s
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -74,6 +74,7 @@
     LEADER_CONTACT_UNKNOWN = "leader_contact_unknown"
     DOCUMENT_IN_FORCE = "document_in_force"
     DOCUMENT_SOURCE_FAILED = "document_source_failed"
+    DOCUMENT_HINT_NOT_FOLLOWED = "document_hint_not_followed"
     DOCUMENT_FILE_INVALID = "document_file_invalid"
     DOCUMENT_SAVE_FAILED = "document_save_failed"
     DOCUMENT_NOT_REPLACED = "document_not_replaced"
--- a/src/samphirespring/process/programs/control.py
+++ b/src/samphirespring/process/programs/control.py
@@ -119,6 +119,7 @@
             timers=timers,
             metrics=metrics,
             read_control_links=partial(_read_control_links, registry_group),
+            read_document=lambda: self._keeper.stamp,
         )
         founder = DocumentFounder(documents=self._documents, initial=initial, timers=timers)
         self._tasks: tuple[OwnerTask, ...] = (
--- a/src/samphirespring/process/programs/node.py
+++ b/src/samphirespring/process/programs/node.py
@@ -213,28 +213,6 @@
             ),
             runner=actions,
         )
-        self._registry = RegistryClient(
-            uplink=TreeUplink(
-                domain=locality.failure_domain,
-                own=locality.host,
-                search=FirstTableSearch(own_address=link_address, seeds=settings.peer_links),
-                chooser=SourceChooser(
-                    domain=locality.failure_domain,
-                    own=locality.host,
-                    control=directory,
-                    seeds=(),
-                ),
-                control=control,
-                links=self._links,
-                table=table.inbox,
-                timers=self._timers,
-            ),
-            agent=self._agent.inbox,
-            table=table.inbox,
-            timers=self._timers,
-            interval_s=settings.report_interval_s,
-            directory=directory,
-        )
         self._keeper = DocumentKeeper(timers=self._timers)
         saver = DocumentSaver(
             file=_make_file(settings.data_folder), timers=self._timers, metrics=metrics
@@ -258,6 +236,30 @@
             metrics=metrics,
             wait_s=settings.document_wait_s,
             source_random=generator,
+            control=control,
+        )
+        self._registry = RegistryClient(
+            uplink=TreeUplink(
+                domain=locality.failure_domain,
+                own=locality.host,
+                search=FirstTableSearch(own_address=link_address, seeds=settings.peer_links),
+                chooser=SourceChooser(
+                    domain=locality.failure_domain,
+                    own=locality.host,
+                    control=directory,
+                    seeds=(),
+                ),
+                control=control,
+                links=self._links,
+                table=table.inbox,
+                timers=self._timers,
+            ),
+            agent=self._agent.inbox,
+            table=table.inbox,
+            timers=self._timers,
+            interval_s=settings.report_interval_s,
+            directory=directory,
+            hints=follower.hints,
         )
         reporter = InForceReporter(
             locality=locality,
--- a/src/samphirespring/process/registry/uplink.py
+++ b/src/samphirespring/process/registry/uplink.py
@@ -21,10 +21,10 @@
 TABLE_TIMEOUT_S = 5.0
 """Longest wait for a whole table, which takes a busy peer longer than a delta, in seconds."""
 
-STALE_REPLY_S = 5.0
+STALE_REPLY_S = 2.0
 """A relay that has not heard the registry for longer is left out for a while, in seconds."""
 
-BEHIND_LIMIT_S = 10.0
+BEHIND_LIMIT_S = 3.0
 """A relay that knows less than its reader for longer is left out for a while, in seconds."""
 
 
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -10,6 +10,7 @@
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
+from samphirespring.process.latest import LatestValue
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.registry.mirror import RegistryMirror
@@ -19,6 +20,7 @@
 from samphirespring.process.targets import NO_DELTA, HostRecord, RegistryDelta
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
+from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
 INBOX_CAPACITY = 1_000
 FORWARD_INTERVAL_S = 0.4
@@ -71,6 +73,7 @@
         timers: The timer service.
         interval_s: Time between two reports of this host, in seconds.
         directory: Addresses of the control hosts, which this task keeps up to date.
+        hints: Takes the newest version of the document that the registry tells of; None tells none.
     """
 
     def __init__(
@@ -82,7 +85,10 @@
         timers: TimerService,
         interval_s: float,
         directory: ControlDirectory | None = None,
+        hints: LatestValue[DocumentStamp] | None = None,
     ) -> None:
+        self._hints = hints
+        self._document = NO_STAMP
         self._directory = directory or ControlDirectory(())
         self.inbox: Mailbox[RelayReports] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._uplink = uplink
@@ -162,6 +168,7 @@
             delta=delta,
             unknown=unknown,
             control_links=() if known else told,
+            document=self._document,
             age_s=self._read_age_s(),
         )
 
@@ -198,6 +205,10 @@
         self._note_reachable(True)
         self._heard_s = self._timers.read_now_s() - reply.age_s
         self._note_acknowledged(reports, reply)
+        if reply.document > self._document:
+            self._document = reply.document
+            if self._hints is not None:
+                self._hints.post(reply.document)
         if reply.control_links:
             self._directory.use_told(reply.control_links)
         self._use_delta(reply.delta)
--- a/src/samphirespring/process/registry_keeper.py
+++ b/src/samphirespring/process/registry_keeper.py
@@ -36,6 +36,7 @@
 from samphirespring.process.targets import NO_DELTA, HostRecord, RegistryDelta
 from samphirespring.process.tasks import OwnerTask, PagedDump
 from samphirespring.process.timers import TimerService
+from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
 INBOX_CAPACITY = 10_000
 EXPIRY_INTERVAL_S = 0.5
@@ -82,6 +83,7 @@
         timers: The timer service.
         metrics: Where to count and measure.
         read_control_links: Returns the link addresses of all control hosts; None tells none.
+        read_document: Returns the newest version of the document here; None tells none.
     """
 
     def __init__(
@@ -93,7 +95,9 @@
         timers: TimerService,
         metrics: Metrics,
         read_control_links: Callable[[], Awaitable[tuple[str, ...]]] | None = None,
+        read_document: Callable[[], DocumentStamp] | None = None,
     ) -> None:
+        self._read_document = read_document
         self._read_control_links = read_control_links
         self._control_links: tuple[str, ...] = ()
         self.inbox: Mailbox[TakeReport | ReadTable] = Mailbox(
@@ -226,6 +230,7 @@
             unknown=tuple(unknown),
             table_sources=sources,
             control_links=() if known_control else self._control_links,
+            document=NO_STAMP if self._read_document is None else self._read_document(),
         )
 
     def _name_table_sources(
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -28,6 +28,12 @@
     When "i-1" deregisters with start 1000
     Then the agent's target "i-1" is "serving"
 
+  Scenario: A target that leaves without naming its start
+    When a heartbeat of "i-1" comes with state "ready", sequence 3 and start 1000
+    And "i-1" deregisters without a body
+    And a heartbeat of "i-1" comes with state "ready", sequence 4 and start 1000
+    Then the agent knows no target
+
   Scenario: An address that another target has taken
     When a heartbeat of "i-1" comes with state "ready", sequence 3 and start 1000
     And a heartbeat of "i-2" comes with state "ready", sequence 0 and start 3000
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -187,6 +187,8 @@
 @when("host 3 leads, and host 4 starts with an emptied disk and reaches seed 1 and host 3 alone")
 def step_reach_one_seed(context):
     simulation = context.simulation
+    # A lead goes to who has caught up: the last voter has the entry that made it one by then.
+    simulation.run(1.0)
     leader = simulation.find_holder()
     clock_s = leader.read_clock(simulation.now_s)
     leader.member.desk.transfer_lead(ReplicaId(simulation.hosts[3].name), now_s=clock_s)
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -117,6 +117,12 @@
     assert context.answer.status == 200, context.answer
 
 
+@when('"{target}" deregisters without a body')
+def step_deregister_bare(context, target):
+    post(context, f"/api/instances/{target}/deregister", b"")
+    assert context.answer.status == 200, context.answer
+
+
 @then('the agent\'s target "{target}" is "{phase}"')
 def step_check_phase(context, target, phase):
     phases = {t.target: t.announcement.phase.value for t in context.agent_dump.targets}
--- /dev/null
+++ b/tests/features/steps/suspicion_steps.py
@@ -0,0 +1,411 @@
+import json
+import os
+import random
+import signal
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import anyio
+from behave import given, then, when
+
+from samphirespring.platform.settings import HostSeedReader
+from samphirespring.process.detection.fault_risk import FaultModel
+from samphirespring.process.detection.states import ObservedOutcome
+from samphirespring.process.log_sink import LogSink
+from samphirespring.process.settings_watch import (
+    CHECK_INTERVAL_S,
+    SeedUser,
+    SettingsWatch,
+    WatchedFile,
+)
+from samphirespring.process.states import TargetCondition, TargetPhase
+from samphirespring.process.suspicion import Suspicion
+from samphirespring.process.targets import Locality, TargetLoad
+from samphirespring.process.timers import ManualTimerService
+from samphirespring.request.messages import AttemptRequest
+from samphirespring.request.risk_selection import RiskSelector
+from samphirespring.request.selection import Candidate, Choice, Distance
+from samphirespring.request.split import SplitSequence
+from samphirespring.version.document import AnswerCheck, RoutePolicy, ServicePolicy
+from samphirespring.version.routes import Route, RoutePart
+from samphirespring.version.states import PriorityClass
+
+SLOTS = 5
+
+
+@given("a target of a service with {share:d} % of its targets in faults of {span:g} s")
+def step_target(context, share, span):
+    context.now_s = 100.0
+    context.suspicion = Suspicion(FaultModel(share=share / 100, span_s=span), now_s=context.now_s)
+
+
+@when("it answers well")
+def step_ok(context):
+    context.suspicion.observe(ObservedOutcome.OK, now_s=context.now_s)
+
+
+@when("it fails")
+def step_fail(context):
+    context.suspicion.observe(ObservedOutcome.WRONG, now_s=context.now_s)
+
+
+@when("it sheds, and a caller's own fault is answered")
+def step_shed(context):
+    context.suspicion.observe(ObservedOutcome.SHED, now_s=context.now_s)
+    context.suspicion.observe(ObservedOutcome.CLIENT_ERROR, now_s=context.now_s)
+
+
+@when("{span:d} s passes")
+def step_pass(context, span):
+    context.now_s += span
+
+
+@then("its risk is between {least:g} and {most:g}")
+def step_check_risk(context, least, most):
+    risk = context.suspicion.read(context.now_s)
+    assert least <= risk <= most, risk
+
+
+def make_request(*, idempotent, max_risk, may_try=False):
+    return AttemptRequest(
+        request="r",
+        attempt="a",
+        target="t",
+        service="s",
+        document_version=1,
+        method=b"GET",
+        path=b"/",
+        headers=(),
+        body=b"",
+        remaining_ms=1000,
+        priority=PriorityClass.INTERACTIVE,
+        idempotent=idempotent,
+        answer=AnswerCheck(),
+        max_risk=max_risk,
+        may_try=may_try,
+    )
+
+
+@then("it refuses an action whose front knows of a target of risk {risk:g}")
+def step_refuses(context, risk):
+    request = make_request(idempotent=False, max_risk=risk)
+    assert not context.suspicion.admits(request, now_s=context.now_s)
+
+
+@then("it runs an action whose front knows of none")
+def step_runs(context):
+    request = make_request(idempotent=False, max_risk=1.0)
+    assert context.suspicion.admits(request, now_s=context.now_s)
+
+
+@then("it runs one of {count:d} reads within {span:g} s")
+def step_tries(context, count, span):
+    request = make_request(idempotent=True, max_risk=0.1, may_try=True)
+    moments = [context.now_s + span * n / count for n in range(count)]
+    admitted = [context.suspicion.admits(request, now_s=moment) for moment in moments]
+    assert sum(admitted) == 1, admitted
+
+
+def make_choice(name, *, risk, free):
+    load = TargetLoad(
+        phase=TargetPhase.SERVING,
+        condition=TargetCondition.HEALTHY,
+        free_slots=int(free),
+        slots=SLOTS,
+    )
+    candidate = Candidate(
+        target=name,
+        locality=Locality(region="r", failure_domain="a", host=name),
+        link_address="10.0.0.1:1",
+        incarnation=1,
+        load=load,
+        admissible=True,
+    )
+    return Choice(candidate=candidate, free_slots=float(free), risk=risk)
+
+
+@given("a front that knows targets of these risks and free slots")
+def step_front(context):
+    context.tiers = [[] for _ in Distance]
+    for row in context.table:
+        choice = make_choice(row["target"], risk=float(row["risk"]), free=float(row["free"]))
+        context.tiers[int(row["distance"])].append(choice)
+
+
+def choose_action(context):
+    return RiskSelector(random.Random(1)).choose(context.tiers, tried=(), idempotent=False)
+
+
+@then('an action goes to "{name}" and is refused there from a risk of about {risk:g}')
+def step_check_choice(context, name, risk):
+    chosen = choose_action(context)
+    assert chosen.target == name, chosen
+    assert abs(chosen.max_risk - risk) < 0.03, chosen.max_risk
+
+
+@then('an action goes to "{name}" and isn\'t refused at a risk of {risk:g}')
+def step_check_last(context, name, risk):
+    chosen = choose_action(context)
+    assert chosen.target == name, chosen
+    assert chosen.max_risk >= risk, chosen.max_risk
+
+
+class FaultyPool:
+    """Targets in short faults, served by one front that learns from answers and refusals."""
+
+    def __init__(self, count, *, seed, use_risk):
+        self.random = random.Random(seed)
+        self.model = FaultModel(share=0.3, span_s=2.7)
+        self.names = [f"t{n}" for n in range(count)]
+        self.faulty = {name: self.random.random() < 0.3 for name in self.names}
+        self.flips_s = {name: self.draw_flip_s(name, 0.0) for name in self.names}
+        self.agents = {name: Suspicion(self.model, now_s=0.0) for name in self.names}
+        self.known = dict.fromkeys(self.names, (self.model.share, 0.0))
+        self.selector = RiskSelector(self.random)
+        self.use_risk = use_risk
+        self.served = []
+
+    def draw_flip_s(self, name, now_s):
+        mean_s = 2.7 if self.faulty[name] else 6.3
+        return now_s + self.random.expovariate(1 / mean_s)
+
+    def advance(self, now_s):
+        for name in self.names:
+            while self.flips_s[name] <= now_s:
+                self.faulty[name] = not self.faulty[name]
+                self.flips_s[name] = self.draw_flip_s(name, self.flips_s[name])
+
+    def serve(self, now_s, *, idempotent):
+        """Return whether a request is answered, after at most two runs if it is a read."""
+        tried = set()
+        for _ in range(2 if idempotent else 1):
+            name = self.find_target(now_s, tried, idempotent=idempotent)
+            failed = self.random.random() < (0.9 if self.faulty[name] else 0.012)
+            outcome = ObservedOutcome.WRONG if failed else ObservedOutcome.OK
+            self.agents[name].observe(outcome, now_s=now_s)
+            self.known[name] = (self.agents[name].read(now_s), now_s)
+            self.served.append((now_s, name))
+            if not failed:
+                return True
+            tried.add(name)
+        return False
+
+    def find_target(self, now_s, tried, *, idempotent):
+        if not self.use_risk:
+            return self.random.choice([n for n in self.names if n not in tried])
+        while True:
+            near = [make_choice(n, risk=self.read_known(n, now_s), free=3) for n in self.names]
+            chosen = self.selector.choose([[], near, [], []], tried=tried, idempotent=idempotent)
+            request = make_request(
+                idempotent=idempotent, max_risk=chosen.max_risk, may_try=chosen.may_try
+            )
+            agent = self.agents[chosen.target]
+            if agent.admits(request, now_s=now_s):
+                return chosen.target
+            self.known[chosen.target] = (agent.read(now_s), now_s)
+
+    def read_known(self, name, now_s):
+        risk, at_s = self.known[name]
+        return self.model.age(risk, now_s - at_s)
+
+
+def play_day(*, actions, reads, use_risk, span_s=60.0):
+    pool = FaultyPool(12, seed=7, use_risk=use_risk)
+    kinds = [False] * actions + [True] * reads
+    pool.random.shuffle(kinds)
+    failed = Counter()
+    for number, idempotent in enumerate(kinds):
+        now_s = span_s * number / len(kinds)
+        pool.advance(now_s)
+        failed[idempotent] += not pool.serve(now_s, idempotent=idempotent)
+    return pool, failed[False] / actions, failed[True] / reads
+
+
+@when("12 targets serve {actions:d} actions and {reads:d} reads while 30 % of them are in faults")
+def step_play_day(context, actions, reads):
+    context.day = play_day(actions=actions, reads=reads, use_risk=True)
+    context.random_day = play_day(actions=actions, reads=reads, use_risk=False)
+    print(f"  measured: {context.day[1]:.3f} of actions, {context.day[2]:.3f} of reads failed")
+
+
+@then("at most {actions:d} % of the actions fail, and at most {reads:d} % of the reads")
+def step_check_day(context, actions, reads):
+    assert context.day[1] <= actions / 100, context.day[1]
+    assert context.day[2] <= reads / 100, context.day[2]
+
+
+@then("with choice at random at least {share:d} % of the actions fail")
+def step_check_random(context, share):
+    assert context.random_day[1] >= share / 100
+
+
+@then("in {share:d} % of all spans of 2 s at least 70 % of the sound targets serve")
+def step_check_spread(context, share):
+    pool = context.day[0]
+    spans = [
+        {name for at_s, name in pool.served if start / 2 <= at_s < start / 2 + 2.0}
+        for start in range(116)
+    ]
+    # About 30 % of the targets are in a fault; 70 % of the others are half of all.
+    wide = [names for names in spans if len(names) >= 0.5 * len(pool.names)]
+    assert len(wide) >= share / 100 * len(spans), Counter(len(names) for names in spans)
+
+
+def make_split_route(weights):
+    policy = RoutePolicy(host="a", service="s0", split={f"s{n}": w for n, w in enumerate(weights)})
+    parts = []
+    end = 0
+    for service, weight in policy.split.items():
+        end += weight
+        alone = Route(
+            policy=RoutePolicy(host="a", service=service), service=ServicePolicy(), section="x"
+        )
+        parts.append(RoutePart(route=alone, end=end / sum(weights)))
+    return Route(policy=policy, service=ServicePolicy(), section="x", parts=tuple(parts))
+
+
+@when("{count:d} requests take a route with the weights 90, 7 and 3")
+def step_split(context, count):
+    context.route = make_split_route([90, 7, 3])
+    sequence = SplitSequence(random.Random(3))
+    context.shares = count_shares([sequence], context.route, count)
+
+
+def count_shares(sequences, route, count):
+    taken = Counter(
+        route.choose_part(sequence.draw("r")).policy.service
+        for sequence in sequences
+        for _ in range(count)
+    )
+    return {service: number / taken.total() for service, number in taken.items()}
+
+
+def check_shares(shares):
+    for service, expected in (("s0", 0.90), ("s1", 0.07), ("s2", 0.03)):
+        assert abs(shares.get(service, 0.0) - expected) <= 0.02, shares
+
+
+@then("each service has its share within 2 in 100")
+def step_check_shares(context):
+    check_shares(context.shares)
+
+
+@then("so it is over {fronts:d} fronts with {count:d} requests each")
+def step_check_fronts(context, fronts, count):
+    generator = random.Random(5)
+    sequences = [SplitSequence(generator) for _ in range(fronts)]
+    check_shares(count_shares(sequences, context.route, count))
+
+
+@given("a log whose reader takes nothing")
+def step_log(context):
+    context.reading, writing = os.pipe()
+    context.add_cleanup(os.close, context.reading)
+    context.add_cleanup(os.close, writing)
+    context.sink = LogSink(writing)
+
+
+@when("{count:d} lines are written")
+def step_write_lines(context, count):
+    started_s = time.monotonic()
+    for number in range(count):
+        context.sink.write(json.dumps({"event": "x", "number": number, "pad": "p" * 100}) + "\n")
+    context.took_s = time.monotonic() - started_s
+
+
+@then("less than {limit:d} s have passed and at most {kib:d} KiB are kept")
+def step_check_lines(context, limit, kib):
+    assert context.took_s < limit
+    assert len(context.sink._pending) <= kib * 1024
+
+
+@when("the reader takes all, and one more line is written")
+def step_read_lines(context):
+    os.set_blocking(context.reading, False)
+    context.received = b""
+    for _ in range(100):
+        try:
+            context.received += os.read(context.reading, 1 << 20)
+        except BlockingIOError:
+            context.sink.write(json.dumps({"event": "last"}) + "\n")
+
+
+@then("the reader sees whole lines and how many were dropped")
+def step_check_read_lines(context):
+    lines = [json.loads(line) for line in context.received.splitlines()]
+    dropped = [line["count"] for line in lines if line["event"] == "log_lines_dropped"]
+    written = [line for line in lines if line["event"] == "x"]
+    assert sum(dropped) + len(written) == 10_000, (dropped, len(written))
+    assert lines[-1]["event"] == "last"
+
+
+class Recorder(SeedUser):
+    def __init__(self):
+        self.seen = []
+
+    def use_seeds(self, seeds):
+        self.seen.append(seeds)
+
+
+@given("a program that follows a settings file")
+def step_settings_file(context):
+    context.recorder = Recorder()
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.file = Path(folder.name) / "settings.json"
+
+
+def write_seeds(file, *hosts):
+    values = {
+        "host": "h",
+        "failure_domain": "a",
+        "region": "r",
+        "address": "10.0.0.1",
+        "link_port": 7600,
+        "metrics_port": 7615,
+        "seeds": [f"{host}:8620" for host in hosts],
+    }
+    file.write_text(json.dumps(values))
+
+
+@when("the file names other seeds, with and without a SIGHUP")
+def step_change_file(context):
+    anyio.run(follow_file, context)
+
+
+async def follow_file(context):
+    timers = ManualTimerService()
+    file = WatchedFile(path=context.file, reader=HostSeedReader())
+    watch = SettingsWatch(file=file, user=context.recorder, timers=timers)
+    write_seeds(context.file, "10.0.0.1")
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch.run)
+        await settle()
+        timers.advance(CHECK_INTERVAL_S)
+        await settle()
+        write_seeds(context.file, "10.0.0.2", "10.0.0.30")
+        timers.advance(CHECK_INTERVAL_S)
+        await settle()
+        write_seeds(context.file, "10.0.0.4")
+        os.kill(os.getpid(), signal.SIGHUP)
+        await settle()
+        context.file.write_text("{")
+        os.kill(os.getpid(), signal.SIGHUP)
+        await settle()
+        group.cancel_scope.cancel()
+
+
+async def settle():
+    for _ in range(20):
+        await anyio.sleep(0.005)
+
+
+@then("it uses them each time, and keeps the last ones when the file can't be read")
+def step_check_seeds(context):
+    assert context.recorder.seen == [
+        ("10.0.0.1:7600",),
+        ("10.0.0.2:7600", "10.0.0.30:7600"),
+        ("10.0.0.4:7600",),
+    ], context.recorder.seen
