Have control hosts that don't lead the registry name its leader; count a target's own refusals

Change: the answer names the leader's link; refusals of targets draw from the budget of executions, and count against the target's risk.

--- a/src/samphirespring/connection/registry_link.py
+++ b/src/samphirespring/connection/registry_link.py
@@ -43,6 +43,10 @@
     table_sources: tuple[str, ...] = ()
     """Link addresses of peers to ask for the whole table, which this reply then doesn't have."""
 
+    leader_link: str | None = None
+    """Link address of the registry's leader, where the answering control host isn't it; nothing of
+    the batch was taken then."""
+
     document: DocumentStamp = NO_STAMP
     """Newest version of the document that the answering process knows of."""
 
--- a/src/samphirespring/process/control_client.py
+++ b/src/samphirespring/process/control_client.py
@@ -48,10 +48,20 @@
             return reply
         raise LinkUnavailableError("no control host answers", sent=True)
 
+    def prefer(self, address: str) -> None:
+        """Call this control host first from now on, also if the addresses lack it.
+
+        Args:
+            address: Its link address.
+        """
+        self._preferred = address
+
     def _list_in_order(self) -> tuple[str, ...]:
         """Return all addresses, beginning with the one that answered last."""
         addresses = tuple(self._addresses)
-        if self._preferred not in addresses:
+        if self._preferred is None:
             return addresses
+        if self._preferred not in addresses:
+            return (self._preferred, *addresses)
         start = addresses.index(self._preferred)
         return (*addresses[start:], *addresses[:start])
--- a/src/samphirespring/process/programs/control.py
+++ b/src/samphirespring/process/programs/control.py
@@ -28,7 +28,7 @@
 from samphirespring.process.document.service import DocumentService, minify
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.host_operator import HostOperator
-from samphirespring.process.ids import GroupId
+from samphirespring.process.ids import GroupId, ReplicaId
 from samphirespring.process.ledger.desk import LedgerDesk
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.logs import configure_logs
@@ -120,6 +120,7 @@
             metrics=metrics,
             read_control_links=partial(_read_control_links, registry_group),
             read_document=lambda: self._keeper.stamp,
+            find_link=partial(_find_link, registry_group),
         )
         founder = DocumentFounder(documents=self._documents, initial=initial, timers=timers)
         self._tasks: tuple[OwnerTask, ...] = (
@@ -211,6 +212,13 @@
     return tuple(member.link_address for member in status.members)
 
 
+async def _find_link(group: GroupOperations, replica: ReplicaId) -> str | None:
+    """Return the link address of one member of a group, or None if it isn't one."""
+    status = await group.read_status()
+    links = (m.link_address for m in status.members if m.replica == replica)
+    return next(links, None)
+
+
 def _read_initial(settings: ControlSettings) -> dict[SectionName, bytes]:
     if settings.initial_document_file is None:
         return {}
--- a/src/samphirespring/process/registry/uplink.py
+++ b/src/samphirespring/process/registry/uplink.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.registry_link import REPORT_HOSTS, BatchReply, ReportBatch
 from samphirespring.process.control_client import ControlClient
@@ -16,6 +17,9 @@
 from samphirespring.process.target_table import ReadPeers, TableMessage
 from samphirespring.process.timers import TimerService
 
+MAX_LEADER_HINTS = 3
+"""Calls after which the leader counts as unknown: each control host named another one."""
+
 NO_TABLE = RegistryVersion(0)
 RELAY_TIMEOUT_S = 1.0
 TABLE_TIMEOUT_S = 5.0
@@ -93,7 +97,16 @@
             reply = await self._send_to_relay(sources.addresses[0], batch)
             if reply is not None:
                 return reply
-        return await self._control.call(REPORT_HOSTS, batch)
+        return await self._report(batch)
+
+    async def _report(self, batch: ReportBatch) -> BatchReply:
+        """Send a batch to the registry's leader, which other control hosts may have to name."""
+        for _ in range(MAX_LEADER_HINTS):
+            reply = await self._control.call(REPORT_HOSTS, batch)
+            if reply.leader_link is None:
+                return reply
+            self._control.prefer(reply.leader_link)
+        raise LinkUnavailableError("no control host leads the registry", sent=True)
 
     async def _send_first(self, batch: ReportBatch) -> BatchReply:
         reply = await self._find_table(self._search.list_peers(), batch)
@@ -105,7 +118,7 @@
             starting=self._own if may_wait else None,
             unreached=self._search.unreached,
         )
-        reply = await self._control.call(REPORT_HOSTS, directed)
+        reply = await self._report(directed)
         fresh = self._search.note_named(reply.table_sources)
         # The control hosts have the reports by now; the peers named are asked for the table alone.
         found = await self._find_table(fresh, msgspec.structs.replace(batch, reports=()))
--- a/src/samphirespring/process/registry_keeper.py
+++ b/src/samphirespring/process/registry_keeper.py
@@ -9,7 +9,7 @@
 from samphirespring.process.control_directory import compute_digest
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.event_log import EventLog
-from samphirespring.process.ids import HostId, RegistryVersion
+from samphirespring.process.ids import HostId, RegistryVersion, ReplicaId
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.metric_names import Counter, Gauge
@@ -32,7 +32,7 @@
 from samphirespring.process.registry.machine import RegistryMachine
 from samphirespring.process.registry.table_grants import TableGrants
 from samphirespring.process.replication.errors import BusyError
-from samphirespring.process.replication.state_machine import Proposer
+from samphirespring.process.replication.state_machine import NotLeaderError, Proposer
 from samphirespring.process.targets import NO_DELTA, HostRecord, RegistryDelta
 from samphirespring.process.tasks import OwnerTask, PagedDump
 from samphirespring.process.timers import TimerService
@@ -84,6 +84,7 @@
         metrics: Where to count and measure.
         read_control_links: Returns the link addresses of all control hosts; None tells none.
         read_document: Returns the newest version of the document here; None tells none.
+        find_link: Returns the link address of a control host; None names no leader to reporters.
     """
 
     def __init__(
@@ -96,7 +97,9 @@
         metrics: Metrics,
         read_control_links: Callable[[], Awaitable[tuple[str, ...]]] | None = None,
         read_document: Callable[[], DocumentStamp] | None = None,
+        find_link: Callable[[ReplicaId], Awaitable[str | None]] | None = None,
     ) -> None:
+        self._find_link = find_link
         self._read_document = read_document
         self._read_control_links = read_control_links
         self._control_links: tuple[str, ...] = ()
@@ -199,9 +202,21 @@
     async def _answer_report(self, message: TakeReport) -> None:
         try:
             message.reply.reply(await self._take_reports(message.batch))
+        except NotLeaderError as error:
+            # A reporter may know only control hosts that don't lead.
+            link = await self._find_leader_link(error)
+            if link is None:
+                message.reply.fail(error)
+            else:
+                message.reply.reply(BatchReply(delta=NO_DELTA, leader_link=link))
         except SamphireError as error:
             message.reply.fail(error)
 
+    async def _find_leader_link(self, error: NotLeaderError) -> str | None:
+        if error.leader is None or self._find_link is None:
+            return None
+        return await self._find_link(error.leader)
+
     async def _take_reports(self, batch: ReportBatch) -> BatchReply:
         await self._confirm_lead()
         now_s = self._timers.read_now_s()
--- a/src/samphirespring/process/suspicion.py
+++ b/src/samphirespring/process/suspicion.py
@@ -37,12 +37,16 @@
     def observe(self, outcome: ObservedOutcome, *, now_s: float) -> None:
         """Take the outcome of an attempt; what isn't the target's doing says nothing.
 
+        A target that sheds what its agent admitted into a free slot serves as little as one that
+        fails.
+
         Args:
             outcome: The outcome.
             now_s: Monotonic time, in seconds.
         """
-        if outcome is ObservedOutcome.OK or outcome in FAILURES:
-            self._risk.observe(failed=outcome in FAILURES, now_s=now_s)
+        failed = outcome in FAILURES or outcome is ObservedOutcome.SHED
+        if failed or outcome is ObservedOutcome.OK:
+            self._risk.observe(failed=failed, now_s=now_s)
 
     def read(self, now_s: float) -> float:
         """Return the risk now.
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -174,6 +174,7 @@
                 code=refusal.code,
                 retry_after_ms=refusal.retry_after_ms,
                 load=load,
+                by_target=True,
             )
         return AnswerEnd(attempt=attempt, body_length=self.body_length, load=load)
 
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -258,6 +258,9 @@
 
 
 def _classify(end: AttemptRefused | AttemptFailed) -> RetryKind:
-    if isinstance(end, AttemptRefused) or not end.started:
+    if isinstance(end, AttemptRefused):
+        # A backend server that refuses was asked all the same.
+        return RetryKind.EXECUTION if end.by_target else RetryKind.REFUSED
+    if not end.started:
         return RetryKind.REFUSED
     return RetryKind.EXECUTION
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -93,6 +93,8 @@
     code: RefusalCode
     retry_after_ms: int | None = None
     load: TargetLoad | None = None
+    by_target: bool = False
+    """Whether the request reached the backend server, which refused it itself."""
 
 
 class AttemptFailed(msgspec.Struct, frozen=True, kw_only=True, tag="failed"):
--- a/tests/features/registry.feature
+++ b/tests/features/registry.feature
@@ -71,3 +71,12 @@
     Then the target table still knows 10 hosts
     When the target table waits 2 s
     Then the target table still knows 0 hosts
+
+  Scenario: A control host that doesn't lead names the leader
+    Given a registry keeper over a log that counts its commands
+    When a host reports to it while "b" leads
+    Then it is told the leader's link address, and nothing is renewed
+
+  Scenario: A node that knows only control hosts that don't lead
+    When a node reports that knows control host "a" alone, and "a" names "b", which leads
+    Then "b" has the report, and the next one goes to "b" at once
--- a/tests/features/steps/registry_steps.py
+++ b/tests/features/steps/registry_steps.py
@@ -1,4 +1,5 @@
 import random
+from contextlib import contextmanager
 
 import anyio
 import anyio.lowlevel
@@ -10,17 +11,20 @@
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
 from samphirespring.process.agent import Agent
+from samphirespring.process.control_client import ControlClient
+from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.metrics import NullMetrics
 from samphirespring.process.registry.commands import ChangeHosts, HostRemoval
+from samphirespring.process.registry.first_table import FirstTableSearch
 from samphirespring.process.registry.machine import RegistryMachine
-from samphirespring.process.registry.uplink import Uplink
+from samphirespring.process.registry.uplink import TreeUplink, Uplink
 from samphirespring.process.registry_client import RegistryClient
 from samphirespring.process.registry_keeper import RegistryKeeper
 from samphirespring.process.replication.errors import BusyError
 from samphirespring.process.replication.state_machine import LocalProposer, NotLeaderError
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.target_table import TargetTable
-from samphirespring.process.targets import HostRecord, Locality
+from samphirespring.process.targets import NO_DELTA, HostRecord, Locality
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.selection import NearestOfTwoSelector
 
@@ -170,6 +174,7 @@
         super().__init__(machine)
         self.command_count = 0
         self.leads = True
+        self.leader = None
         self.is_busy = False
 
     async def propose(self, command):
@@ -181,7 +186,7 @@
         if self.is_busy:
             raise BusyError("too many questions")
         if not self.leads:
-            raise NotLeaderError("another replica leads")
+            raise NotLeaderError("another replica leads", leader=self.leader)
 
 
 class KeeperWorld:
@@ -197,8 +202,12 @@
             lease_s=LEASE_S,
             timers=self.timers,
             metrics=NullMetrics(),
+            find_link=self.find_link,
         )
 
+    async def find_link(self, replica):
+        return f"link-of-{replica}"
+
     async def report(self, number, *, incarnation=1, full=True):
         record = make_record(number, incarnation=incarnation) if full else None
         report = HostReport(host=f"h{number}", incarnation=incarnation, sequence=1, record=record)
@@ -464,3 +473,69 @@
 @then("the front knows {count:d} hosts")
 def step_check_back(context, count):
     assert len(context.known.hosts) == count
+
+
+@when('a host reports to it while "{leader}" leads')
+def step_report_elsewhere(context, leader):
+    async def play(world):
+        world.proposer.leads = False
+        world.proposer.leader = leader
+        report = HostReport(host="h1", incarnation=1, sequence=1, record=make_record(1))
+        batch = ReportBatch(known_version=0, reports=(report,))
+        context.reply = await world.keeper.report(batch)
+        context.hosts = (await world.read()).hosts
+
+    run_keeper(context, play)
+
+
+@then("it is told the leader's link address, and nothing is renewed")
+def step_check_leader_link(context):
+    assert context.reply.leader_link == "link-of-b"
+    assert context.hosts == ()
+
+
+class NamingPool:
+    """Links to control hosts of which only one leads."""
+
+    def __init__(self, leader):
+        self.leader = leader
+        self.calls = []
+
+    @contextmanager
+    def use(self, address):
+        yield NamingLink(self, address)
+
+
+class NamingLink:
+    def __init__(self, pool, address):
+        self.pool = pool
+        self.address = address
+
+    async def call(self, method, request, *, timeout_s):
+        self.pool.calls.append(self.address)
+        if self.address == self.pool.leader:
+            return BatchReply(delta=NO_DELTA)
+        return BatchReply(delta=NO_DELTA, leader_link=self.pool.leader)
+
+
+@when('a node reports that knows control host "a" alone, and "a" names "b", which leads')
+def step_report_to_follower(context):
+    context.pool = NamingPool("b")
+    uplink = TreeUplink(
+        domain="d",
+        own="h1",
+        search=FirstTableSearch(own_address="x", seeds=()),
+        chooser=SourceChooser(domain="d", own="h1", control=(), seeds=()),
+        control=ControlClient(context.pool, ("a",)),
+        links=context.pool,
+        table=None,
+        timers=ManualTimerService(),
+    )
+    batch = ReportBatch(known_version=0, reports=())
+    for _ in range(2):
+        anyio.run(uplink.send, batch)
+
+
+@then('"b" has the report, and the next one goes to "b" at once')
+def step_check_calls(context):
+    assert context.pool.calls == ["a", "b", "b"], context.pool.calls
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -51,9 +51,13 @@
     context.suspicion.observe(ObservedOutcome.WRONG, now_s=context.now_s)
 
 
-@when("it sheds, and a caller's own fault is answered")
+@when("it sheds")
 def step_shed(context):
     context.suspicion.observe(ObservedOutcome.SHED, now_s=context.now_s)
+
+
+@when("a caller's own fault is answered")
+def step_client_error(context):
     context.suspicion.observe(ObservedOutcome.CLIENT_ERROR, now_s=context.now_s)
 
 
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -20,8 +20,10 @@
 
   Scenario: What isn't the target's doing says nothing
     Given a target of a service with 30 % of its targets in faults of 2.7 s
-    When it sheds, and a caller's own fault is answered
+    When a caller's own fault is answered
     Then its risk is between 0.29 and 0.31
+    When it sheds
+    Then its risk is between 0.60 and 0.99
 
   Scenario: An agent refuses what another target serves better, and lets reads try now and then
     Given a target of a service with 30 % of its targets in faults of 2.7 s
