Send attempts as arrays; count a target's refusals as executions only where the service says so

Change: arrays; ServicePolicy.refusals_are_executions; a target in another failure domain costs more.

--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -174,6 +174,7 @@
         floor=terms.floor,
         detection=DetectionPolicy(mode=DetectionMode.FAST),
         suspicion=terms.suspicion,
+        refusals_are_executions=True,
         retry_share=terms.retry_share,
         retry_floor=terms.retry_floor,
         retry_window_s=terms.retry_window_s,
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -114,7 +114,7 @@
             step = self._planner.plan(end, left_ms=self._measure_left_ms())
             if step.decision is not RetryDecision.RETRY:
                 raise make_request_error(end, policy=self._policy)
-            if not _is_free(end) and not await self._take_retry(_classify(end)):
+            if not _is_free(end) and not await self._take_retry(self._classify(end)):
                 raise make_request_error(end, policy=self._policy)
             await self._wait(step)
 
@@ -215,6 +215,12 @@
         self._context.metrics.count(name)
         return granted
 
+    def _classify(self, end: AttemptRefused | AttemptFailed) -> RetryKind:
+        if isinstance(end, AttemptRefused):
+            counts = end.by_target and self._route.service.refusals_are_executions
+            return RetryKind.EXECUTION if counts else RetryKind.REFUSED
+        return RetryKind.EXECUTION if end.started else RetryKind.REFUSED
+
     async def _wait(self, step: RetryStep) -> None:
         if step.delay_s > 0.0:
             await self._context.timers.wait_for(step.delay_s)
@@ -255,12 +261,3 @@
 def _is_free(end: AttemptRefused | AttemptFailed) -> bool:
     """Return whether another attempt costs backend servers nothing: none was reached."""
     return isinstance(end, AttemptRefused) and end.code is RefusalCode.SUSPECT
-
-
-def _classify(end: AttemptRefused | AttemptFailed) -> RetryKind:
-    if isinstance(end, AttemptRefused):
-        # A backend server that refuses was asked all the same.
-        return RetryKind.EXECUTION if end.by_target else RetryKind.REFUSED
-    if not end.started:
-        return RetryKind.REFUSED
-    return RetryKind.EXECUTION
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -1,4 +1,7 @@
-"""Messages between a front and an agent about one attempt, independent of any encoding."""
+"""Messages between a front and an agent about one attempt, independent of any encoding.
+
+They go as arrays without names, which would be half of most messages: new fields go to the end.
+"""
 
 import msgspec
 
@@ -19,7 +22,7 @@
     value: bytes
 
 
-class AttemptRequest(msgspec.Struct, frozen=True, kw_only=True):
+class AttemptRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One attempt to run a request on a target."""
 
     request: RequestId
@@ -60,7 +63,7 @@
     """For an action: latest start, in milliseconds of wall time."""
 
 
-class AnswerHead(msgspec.Struct, frozen=True, kw_only=True, tag="head"):
+class AnswerHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the answer."""
 
     attempt: AttemptId
@@ -70,13 +73,13 @@
     """Length that the backend server stated, in bytes."""
 
 
-class AnswerChunk(msgspec.Struct, frozen=True, kw_only=True, tag="chunk"):
+class AnswerChunk(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="chunk"):
     """Part of the answer's body."""
 
     data: bytes
 
 
-class AnswerEnd(msgspec.Struct, frozen=True, kw_only=True, tag="end"):
+class AnswerEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="end"):
     """The answer is complete."""
 
     attempt: AttemptId
@@ -86,7 +89,7 @@
     load: TargetLoad
 
 
-class AttemptRefused(msgspec.Struct, frozen=True, kw_only=True, tag="refused"):
+class AttemptRefused(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="refused"):
     """The attempt did not start and never will."""
 
     attempt: AttemptId
@@ -97,7 +100,7 @@
     """Whether the request reached the backend server, which refused it itself."""
 
 
-class AttemptFailed(msgspec.Struct, frozen=True, kw_only=True, tag="failed"):
+class AttemptFailed(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="failed"):
     """The attempt ended without a complete answer."""
 
     attempt: AttemptId
@@ -115,7 +118,7 @@
 """The last frame of an attempt."""
 
 
-class FrameBatch(msgspec.Struct, frozen=True, kw_only=True):
+class FrameBatch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Frames of one attempt, in order, that travel together."""
 
     frames: tuple[AttemptFrame, ...]
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -17,7 +17,7 @@
 DISTANCE_COSTS = {
     Distance.SAME_HOST: 0.0,
     Distance.SAME_FAILURE_DOMAIN: 0.002,
-    Distance.SAME_REGION: 0.004,
+    Distance.SAME_REGION: 0.015,
     Distance.OTHER_REGION: 0.15,
 }
 """What the way to a target costs, as a probability of failure that would be as bad."""
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -128,6 +128,10 @@
     retry_window_s: PositiveFloat = 60.0
     """Time in which a request or a spent retry loses most of its weight, in seconds."""
 
+    refusals_are_executions: bool = False
+    """Whether repeats after a backend server's own refusal count as retries of executions. Its
+    refusals cost little, so that repeats after them are limited to one for each request."""
+
     slow_start_s: PositiveFloat = 10.0
     """Time in which a new or returning target reaches its full share, in seconds."""
 
