Ask for a target that answered well just now, and count retries over a sliding window

Change: an action is refused above the risk that an unheard target may have, so that the front finds one with a fresh answer; retries count over a sliding window, whose bound is exact; the log tells answered requests from left ones.

--- a/src/samphirespring/platform/edge.py
+++ b/src/samphirespring/platform/edge.py
@@ -21,8 +21,8 @@
     NodeParts,
 )
 
-BURST_FACTOR = 2.0
-"""A decaying window of some length grants at most so many times its size within that length."""
+BUDGET_PART = 0.85
+"""Part of the fleet's budget that fronts spend: each counts by itself and in whole attempts."""
 
 
 class PlatformNodeEdge(NodeEdge):
@@ -83,7 +83,7 @@
     bounds = settings.bounds
     return ServiceTerms(
         floor=float(bounds.get("floor-share", "0.7")),
-        retry_share=float(bounds.get("retry-budget-ratio", "0.1")) / BURST_FACTOR,
-        retry_floor=float(bounds.get("retry-budget-slack", "12")) / BURST_FACTOR,
+        retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * BUDGET_PART,
+        retry_floor=float(bounds.get("retry-budget-slack", "12")) * BUDGET_PART,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
     )
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -155,6 +155,9 @@
             raise
         finally:
             elapsed_s = self._context.timers.read_now_s() - started_s
+            if end == "left" and exchange.has_answered:
+                # The connection tells of its end as soon as the answer is complete.
+                end = "answered"
             self._request_log.write(
                 request=request.request,
                 service=route.policy.service,
--- a/src/samphirespring/process/retry_budget.py
+++ b/src/samphirespring/process/retry_budget.py
@@ -1,15 +1,15 @@
 """Budget that keeps the attempts of a service within a share over its requests."""
 
-import math
 import random
 from enum import Enum
 
 import msgspec
 
+from samphirespring.process.sliding_count import SlidingCount
 from samphirespring.version.ids import ServiceName
 
 WINDOW_S = 60.0
-"""Time in which a request or a spent retry loses most of its weight, in seconds."""
+"""Time for which a request or a spent retry counts, in seconds."""
 
 REFUSED_SHARE = 1.0
 """Repeats of refused attempts allowed per request; an attempt that did not start costs little."""
@@ -32,7 +32,7 @@
 
 
 class RetryBudgetDump(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests and additional attempts of a service, in a window that decays."""
+    """Requests and additional attempts of a service in the last window."""
 
     service: ServiceName
     requests: float
@@ -50,27 +50,24 @@
 
 
 class RetryBudget:
-    """Counts a service's requests and additional attempts over a decaying window.
+    """Counts a service's requests and additional attempts over a sliding window.
 
-    Over a long time, additional attempts of one kind stay within
-    `share * requests + floor / window_s * time + floor`, on average over many fronts. What is left
-    below one attempt is drawn for and spent either way: at thousands of fronts with few requests
-    each, none would ever save up a whole attempt.
+    Within any window, additional attempts of one kind stay within `share * requests + floor`, on
+    average over many fronts. What is left below one attempt is drawn for and spent either way: at
+    thousands of fronts with few requests each, none would ever save up a whole attempt.
 
     Args:
         now_s: Monotonic time, in seconds.
         generator: Source of random numbers.
-        window_s: Time in which what is counted loses most of its weight, in seconds.
+        window_s: Time for which what is counted counts, in seconds.
     """
 
     def __init__(
         self, *, now_s: float, generator: random.Random, window_s: float = WINDOW_S
     ) -> None:
-        self.window_s = window_s
-        self._requests = 0.0
-        self._spent = dict.fromkeys(RetryKind, 0.0)
-        self._counted_s = now_s
+        self._window_s = window_s
         self._generator = generator
+        self._forget()
 
     def count_request(self, *, now_s: float) -> None:
         """Count a request.
@@ -78,8 +75,7 @@
         Args:
             now_s: Monotonic time, in seconds.
         """
-        self._decay(now_s)
-        self._requests += 1.0
+        self._requests.add(1.0, now_s=now_s)
 
     def take(self, kind: RetryKind, *, share: float, floor: float, now_s: float) -> bool:
         """Return whether another attempt may start, and count it if so.
@@ -90,23 +86,38 @@
             floor: Additional attempts allowed in one window beyond the share.
             now_s: Monotonic time, in seconds.
         """
-        self._decay(now_s)
-        room = self._find_room(kind, share=share, floor=floor)
+        room = self._find_room(kind, share=share, floor=floor, now_s=now_s)
         if room <= 0.0:
             return False
         for spent_kind in _SPENT_KINDS[kind]:
-            self._spent[spent_kind] += min(1.0, room)
+            self._spent[spent_kind].add(min(1.0, room), now_s=now_s)
         return self._generator.random() < room
 
-    def _find_room(self, kind: RetryKind, *, share: float, floor: float) -> float:
+    def use_window(self, window_s: float) -> None:
+        """Count over another span from now on, beginning with nothing.
+
+        Args:
+            window_s: The span, in seconds.
+        """
+        if window_s != self._window_s:
+            self._window_s = window_s
+            self._forget()
+
+    def _forget(self) -> None:
+        self._requests = SlidingCount(self._window_s)
+        self._spent = {kind: SlidingCount(self._window_s) for kind in RetryKind}
+
+    def _find_room(self, kind: RetryKind, *, share: float, floor: float, now_s: float) -> float:
+        requests = self._requests.read(now_s)
+        spent = self._spent[kind].read(now_s)
         if kind is RetryKind.REFUSED:
-            return REFUSED_SHARE * self._requests + floor - self._spent[kind]
-        allowed = share * self._requests + floor
-        room = allowed - self._spent[RetryKind.EXECUTION]
+            return REFUSED_SHARE * requests + floor - spent
+        allowed = share * requests + floor
+        room = allowed - self._spent[RetryKind.EXECUTION].read(now_s)
         if kind is RetryKind.EXECUTION:
             return room
         # Hedges that help little must not leave failed and stalled requests without a retry.
-        return min(room, allowed * HEDGE_PART - self._spent[RetryKind.HEDGE])
+        return min(room, allowed * HEDGE_PART - spent)
 
     def make_dump(self, service: ServiceName, *, now_s: float) -> RetryBudgetDump:
         """Return the state for an operator.
@@ -115,18 +126,10 @@
             service: Whose budget it is.
             now_s: Monotonic time, in seconds.
         """
-        self._decay(now_s)
         return RetryBudgetDump(
             service=service,
-            requests=self._requests,
-            spent_executions=self._spent[RetryKind.EXECUTION],
-            spent_refused=self._spent[RetryKind.REFUSED],
-            spent_hedges=self._spent[RetryKind.HEDGE],
+            requests=self._requests.read(now_s),
+            spent_executions=self._spent[RetryKind.EXECUTION].read(now_s),
+            spent_refused=self._spent[RetryKind.REFUSED].read(now_s),
+            spent_hedges=self._spent[RetryKind.HEDGE].read(now_s),
         )
-
-    def _decay(self, now_s: float) -> None:
-        factor = math.exp(-max(0.0, now_s - self._counted_s) / self.window_s)
-        self._counted_s = now_s
-        self._requests *= factor
-        for kind in self._spent:
-            self._spent[kind] *= factor
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -34,7 +34,7 @@
     heard_s: float
     in_flight: int = 0
     risk: float | None = None
-    risk_s: float = 0.0
+    risk_s: float = float("-inf")
 
     def estimate_risk(self, model: FaultModel | None, now_s: float) -> float | None:
         """Return the probability that the target is in a fault now.
@@ -196,6 +196,7 @@
                     candidate=member.candidate,
                     free_slots=member.estimate_free_slots(now_s),
                     risk=member.estimate_risk(model, now_s),
+                    risk_age_s=now_s - member.risk_s,
                 )
                 for member in tier
             ]
--- a/src/samphirespring/process/traffic_gate.py
+++ b/src/samphirespring/process/traffic_gate.py
@@ -191,7 +191,7 @@
             self._limited += 1
         else:
             budget = self._find_budget(message.service, now_s)
-            budget.window_s = message.retry_window_s
+            budget.use_window(message.retry_window_s)
             budget.count_request(now_s=now_s)
         return wait_s
 
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -88,6 +88,11 @@
         """Attempts made so far."""
         return len(self._tried)
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether the caller got a complete answer."""
+        return any(isinstance(trace.end, AnswerEnd) for trace in self.traces)
+
     async def run(self) -> None:
         """Serve the request.
 
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -31,9 +31,15 @@
 TRIED_COST = 1.0
 """Cost of a target that failed or refused the request before."""
 
-LEAST_MAX_RISK = 0.1
+LEAST_MAX_RISK = 0.05
 """Risk up to which no target refuses: looking for a better one would cost more."""
 
+FRESH_S = 0.5
+"""Age up to which a told risk is taken as it is, in seconds."""
+
+HOPED_RISK = 0.02
+"""Risk that a target of which nothing was heard lately may have: asking it costs one refusal."""
+
 VISIT_SHARE = 0.5
 """Share of first attempts of reads that visit any near target instead of the best one."""
 
@@ -80,9 +86,10 @@
         _, _, best = costs[0]
         max_risk = 1.0
         if len(costs) > 1:
-            # The next best target costs this much more, apart from the risk of the best one.
-            room = costs[1][0] - (costs[0][0] - _read_risk(best))
-            max_risk = max(LEAST_MAX_RISK, room)
+            # What the best of the others may cost, apart from what the chosen one costs anyway.
+            fixed = costs[0][0] - _read_risk(best)
+            hoped = min(cost - _read_hope(choice) for cost, _, choice in costs[1:])
+            max_risk = max(LEAST_MAX_RISK, hoped - fixed)
         return _admit(best, max_risk=max_risk, may_try=idempotent and is_first)
 
     def _choose_visit(self, tiers: Sequence[Sequence[Choice]]) -> Choice | None:
@@ -108,6 +115,13 @@
     return 0.0 if choice.risk is None else choice.risk
 
 
+def _read_hope(choice: Choice) -> float:
+    """Return by how much a target may be better than the front knows."""
+    if choice.risk_age_s <= FRESH_S:
+        return 0.0
+    return max(0.0, _read_risk(choice) - HOPED_RISK)
+
+
 def _find_cost(choice: Choice, distance: Distance, tried: Collection[TargetId]) -> float:
     cost = _read_risk(choice) + DISTANCE_COSTS[distance]
     slots = choice.candidate.load.slots
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -51,6 +51,9 @@
     risk: float | None = None
     """Probability that it is in a fault now; None where the service's policy has no suspicion."""
 
+    risk_age_s: float = 0.0
+    """Time since its agent told the risk, in seconds."""
+
 
 class Distance(IntEnum):
     """How far a target is from the front; a nearer one is preferred."""
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -126,7 +126,7 @@
     """Retries and hedges that all fronts together may add in a window beyond the share."""
 
     retry_window_s: PositiveFloat = 60.0
-    """Time in which a request or a spent retry loses most of its weight, in seconds."""
+    """Time for which a request or a spent retry counts against the budget, in seconds."""
 
     refusals_are_executions: bool = False
     """Whether repeats after a backend server's own refusal count as retries of executions. Its
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -159,24 +159,23 @@
 
 def make_attempt_message(**members):
     """Return an attempt as an agent gets it."""
-    return msgspec.convert(
-        {
-            "request": "r",
-            "target": "t",
-            "service": "s",
-            "document_version": 1,
-            "method": b"POST",
-            "path": b"/",
-            "headers": (),
-            "body": b"",
-            "remaining_ms": 1,
-            "priority": "action",
-            "idempotent": False,
-            "answer": {},
-            **members,
-        },
-        AttemptRequest,
-    )
+    values = {
+        "request": "r",
+        "target": "t",
+        "service": "s",
+        "document_version": 1,
+        "method": b"POST",
+        "path": b"/",
+        "headers": (),
+        "body": b"",
+        "remaining_ms": 1,
+        "priority": "action",
+        "idempotent": False,
+        "answer": {},
+        **members,
+    }
+    fields = msgspec.structs.fields(AttemptRequest)
+    return msgspec.convert([values.get(f.name, f.default) for f in fields], AttemptRequest)
 
 
 @dataclass
