Ask each target once, and at most three, before the best one known runs a request

Change: targets that refused are left out until three were asked or none can be better. Measured: scenario 'a front that nothing was heard of lately' failed before (it never ended), passes.

--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -57,6 +57,9 @@
     idempotent: bool = True
     """Whether the request is; others never go to targets on trial."""
 
+    suspected: Collection[TargetId] = ()
+    """Targets that refused the request because others seemed better."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoteLoad:
@@ -304,7 +307,10 @@
             candidate = self._selector.choose(tiers, tried=message.tried)
         else:
             candidate = self._risk_selector.choose(
-                tiers, tried=message.tried, idempotent=message.idempotent
+                tiers,
+                tried=message.tried,
+                idempotent=message.idempotent,
+                suspected=message.suspected,
             )
         if candidate is None:
             return None
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -143,6 +143,7 @@
             service=self._policy.service,
             tried=tried,
             idempotent=self._policy.idempotent,
+            suspected=frozenset(self._suspected),
         ) as candidate:
             if candidate is None:
                 raise NoTargetError(
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 
 import msgspec
 
@@ -37,6 +38,9 @@
 FRESH_S = 0.5
 """Age up to which a told risk is taken as it is, in seconds."""
 
+MOST_ASKED = 3
+"""Targets that may refuse a request for better ones; then the best one known runs it."""
+
 HOPED_RISK = 0.02
 """Risk that a target of which nothing was heard lately may have: asking it costs one refusal."""
 
@@ -47,6 +51,16 @@
 """Risk from which a target isn't visited; its agent would mostly refuse."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Cost:
+    """What a target costs as the front knows it, and what it may cost at best."""
+
+    value: float
+    hoped: float
+    draw: float
+    choice: Choice
+
+
 class RiskSelector:
     """Takes the target of least cost: its risk, its distance and its load.
 
@@ -63,6 +77,7 @@
         *,
         tried: Collection[TargetId],
         idempotent: bool,
+        suspected: Collection[TargetId] = (),
     ) -> Candidate | None:
         """Return the target for the next attempt, or None where none can serve.
 
@@ -70,26 +85,25 @@
             tiers: Usable targets of the service by distance, nearest first.
             tried: Targets that failed or refused the request before.
             idempotent: Whether the request may be repeated.
+            suspected: Targets that refused the request because others seemed better.
         """
         costs = [
-            (_find_cost(choice, distance, tried), self._generator.random(), choice)
+            _Cost(
+                value=_find_cost(choice, distance, tried),
+                hoped=_find_cost(choice, distance, tried) - _read_hope(choice, distance),
+                draw=self._generator.random(),
+                choice=choice,
+            )
             for distance, tier in zip(Distance, tiers, strict=True)
             for choice in tier
         ]
         if not costs:
             return None
-        is_first = not tried
+        is_first = not tried and not suspected
         visited = self._choose_visit(tiers) if idempotent and is_first else None
         if visited is not None:
             return _admit(visited, max_risk=1.0, may_try=True)
-        costs.sort()
-        _, _, best = costs[0]
-        max_risk = 1.0
-        if len(costs) > 1:
-            # What the best of the others may cost, apart from what the chosen one costs anyway.
-            fixed = costs[0][0] - _read_risk(best)
-            hoped = min(cost - _read_hope(choice) for cost, _, choice in costs[1:])
-            max_risk = max(LEAST_MAX_RISK, hoped - fixed)
+        best, max_risk = _choose_best(costs, suspected)
         return _admit(best, max_risk=max_risk, may_try=idempotent and is_first)
 
     def _choose_visit(self, tiers: Sequence[Sequence[Choice]]) -> Choice | None:
@@ -105,6 +119,31 @@
         return self._generator.choice(near) if near else None
 
 
+def _choose_best(costs: Sequence[_Cost], suspected: Collection[TargetId]) -> tuple[Choice, float]:
+    """Return the target of least cost, and the risk from which it is to refuse.
+
+    Args:
+        costs: What the targets cost, at least one.
+        suspected: Targets that refused the request because others seemed better.
+    """
+    ranked = sorted(costs, key=lambda cost: (cost.value, cost.draw))
+    unasked = [cost for cost in ranked if cost.choice.candidate.target not in suspected]
+    is_settled = bool(suspected) and bool(unasked) and ranked[0].value <= _find_hope(unasked)
+    if len(suspected) >= MOST_ASKED or not unasked or is_settled:
+        return ranked[0].choice, 1.0
+    best = unasked[0]
+    others = [cost for cost in ranked if cost is not best]
+    if not others:
+        return best.choice, 1.0
+    # What the best of the others may cost, apart from what the chosen one costs anyway.
+    room = _find_hope(others) - (best.value - _read_risk(best.choice))
+    return best.choice, max(LEAST_MAX_RISK, room)
+
+
+def _find_hope(costs: Sequence[_Cost]) -> float:
+    return min(cost.hoped for cost in costs)
+
+
 def _admit(choice: Choice, *, max_risk: float, may_try: bool) -> Candidate:
     return msgspec.structs.replace(
         choice.candidate, risk=choice.risk, max_risk=max_risk, may_try=may_try
@@ -115,9 +154,9 @@
     return 0.0 if choice.risk is None else choice.risk
 
 
-def _read_hope(choice: Choice) -> float:
-    """Return by how much a target may be better than the front knows."""
-    if choice.risk_age_s <= FRESH_S:
+def _read_hope(choice: Choice, distance: Distance) -> float:
+    """Return by how much a near target may be better than the front knows."""
+    if choice.risk_age_s <= FRESH_S or distance is Distance.OTHER_REGION:
         return 0.0
     return max(0.0, _read_risk(choice) - HOPED_RISK)
 
--- a/src/samphirespring/request/target_lease.py
+++ b/src/samphirespring/request/target_lease.py
@@ -17,6 +17,7 @@
     service: ServiceName,
     tried: Collection[TargetId],
     idempotent: bool,
+    suspected: Collection[TargetId] = (),
 ) -> AsyncIterator[Candidate | None]:
     """Give the target of the next attempt, or None; leaving the context releases it.
 
@@ -25,9 +26,18 @@
         service: The service.
         tried: Targets of earlier attempts of the request.
         idempotent: Whether the request is; others never go to targets on trial.
+        suspected: Targets that refused the request because others seemed better.
     """
     slot: ReplySlot[Candidate | None] = ReplySlot()
-    table.post(SelectTarget(service=service, tried=tried, reply=slot, idempotent=idempotent))
+    table.post(
+        SelectTarget(
+            service=service,
+            tried=tried,
+            reply=slot,
+            idempotent=idempotent,
+            suspected=suspected,
+        )
+    )
     try:
         yield await slot.wait()
     finally:
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import anyio
+import msgspec
 from behave import given, then, when
 
 from samphirespring.platform.settings import HostSeedReader
@@ -156,6 +157,20 @@
     assert chosen.max_risk >= risk, chosen.max_risk
 
 
+@given("{count:d} targets whose agents all know of a risk of {risk:g}, and a front that knows none")
+def step_unknown_pool(context, count, risk):
+    context.pool = FaultyPool(count, seed=1, use_risk=True)
+    context.pool.known = dict.fromkeys(context.pool.names, (0.3, float("-inf")))
+    for agent in context.pool.agents.values():
+        agent._risk._risk = risk
+
+
+@then("an action is refused by at most {count:d} targets and runs on the fourth")
+def step_check_asked(context, count):
+    context.pool.find_target(0.0, set(), idempotent=False)
+    assert context.pool.refusals <= count, context.pool.refusals
+
+
 class FaultyPool:
     """Targets in short faults, served by one front that learns from answers and refusals."""
 
@@ -170,6 +185,7 @@
         self.selector = RiskSelector(self.random)
         self.use_risk = use_risk
         self.served = []
+        self.refusals = 0
 
     def draw_flip_s(self, name, now_s):
         mean_s = 2.7 if self.faulty[name] else 6.3
@@ -199,9 +215,15 @@
     def find_target(self, now_s, tried, *, idempotent):
         if not self.use_risk:
             return self.random.choice([n for n in self.names if n not in tried])
+        suspected = set()
         while True:
-            near = [make_choice(n, risk=self.read_known(n, now_s), free=3) for n in self.names]
-            chosen = self.selector.choose([[], near, [], []], tried=tried, idempotent=idempotent)
+            near = [self.make_choice(name, now_s) for name in self.names]
+            chosen = self.selector.choose(
+                [[], near, [], []],
+                tried=tried,
+                idempotent=idempotent,
+                suspected=suspected,
+            )
             request = make_request(
                 idempotent=idempotent, max_risk=chosen.max_risk, may_try=chosen.may_try
             )
@@ -209,10 +231,15 @@
             if agent.admits(request, now_s=now_s):
                 return chosen.target
             self.known[chosen.target] = (agent.read(now_s), now_s)
+            suspected.add(chosen.target)
+            self.refusals += 1
 
-    def read_known(self, name, now_s):
+    def make_choice(self, name, now_s):
         risk, at_s = self.known[name]
-        return self.model.age(risk, now_s - at_s)
+        known = self.model.age(risk, now_s - at_s)
+        return msgspec.structs.replace(
+            make_choice(name, risk=known, free=3), risk_age_s=now_s - at_s
+        )
 
 
 def play_day(*, actions, reads, use_risk, span_s=60.0):
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -65,6 +65,10 @@
       | b      | 2        | 0.80 | 5    |
     Then an action goes to "b" and isn't refused at a risk of 0.8
 
+  Scenario: A front that nothing was heard of lately asks a few targets, and then takes the best
+    Given 12 targets whose agents all know of a risk of 0.2, and a front that knows none
+    Then an action is refused by at most 3 targets and runs on the fourth
+
   Scenario: A day of short faults
     When 12 targets serve 3000 actions and 1500 reads while 30 % of them are in faults
     Then at most 8 % of the actions fail, and at most 2 % of the reads
