--- a/src/samphirespring/platform/edge.py
+++ b/src/samphirespring/platform/edge.py
@@ -21,8 +21,8 @@
     NodeParts,
 )
 
-BUDGET_PART = 0.85
-"""Part of the fleet's budget that fronts spend: each counts by itself and in whole attempts."""
+BUDGET_PART = 0.6
+"""Part of the fleet's budget that fronts spend: calls of repeated runs count against the rest."""
 
 
 class PlatformNodeEdge(NodeEdge):
