--- a/src/samphirespring/connection/backend_dialect.py
+++ b/src/samphirespring/connection/backend_dialect.py
@@ -6,6 +6,7 @@
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
+    leave_out,
 )
 from samphirespring.connection.refusals import BodyRefusalReader, RefusalReader
 from samphirespring.request.messages import AnswerHead, AttemptRequest
@@ -48,11 +49,7 @@
 
     def make_headers(self, request: AttemptRequest) -> HttpHeaders:
         """Return the headers of an attempt."""
-        headers = [
-            (header.name, header.value)
-            for header in request.headers
-            if header.name not in REPLACED_HEADERS
-        ]
+        headers = leave_out(request.headers, REPLACED_HEADERS)
         headers.append((DEADLINE_HEADER, str(request.remaining_ms).encode()))
         headers.append((ATTEMPT_HEADER, request.attempt.encode()))
         if request.key is not None:
--- a/src/samphirespring/connection/caller_dialect.py
+++ b/src/samphirespring/connection/caller_dialect.py
@@ -152,11 +152,7 @@
         self, error: SamphireError, status: int, request_id: RequestId, *, body_length: int
     ) -> HttpAnswerHead:
         """Return the head of a problem report."""
-        headers = [
-            Header(b"content-type", PROBLEM_CONTENT_TYPE),
-            Header(b"content-length", str(body_length).encode()),
-            Header(REQUEST_HEADER, request_id.encode()),
-        ]
+        headers = list_problem_headers(REQUEST_HEADER, request_id, body_length=body_length)
         if isinstance(error, RequestError):
             headers.append(Header(ATTEMPTS_HEADER, str(error.attempt_count).encode()))
             headers.append(Header(OUTCOME_HEADER, error.outcome.value.encode()))
@@ -168,6 +164,23 @@
         return HttpAnswerHead(status=status, headers=tuple(headers))
 
 
+def list_problem_headers(
+    id_header: bytes, request_id: RequestId, *, body_length: int
+) -> list[Header]:
+    """Return the headers that every problem report has.
+
+    Args:
+        id_header: Header that carries the request's id.
+        request_id: The id.
+        body_length: Length of the report, in bytes.
+    """
+    return [
+        Header(b"content-type", PROBLEM_CONTENT_TYPE),
+        Header(b"content-length", str(body_length).encode()),
+        Header(id_header, request_id.encode("latin-1")),
+    ]
+
+
 def read_target(scope: Any) -> bytes:
     """Return the path with its query, as the caller wrote it.
 
--- a/src/samphirespring/connection/http_headers.py
+++ b/src/samphirespring/connection/http_headers.py
@@ -1,6 +1,6 @@
 """Rules for HTTP headers that pass through the proxy."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from samphirespring.request.messages import Header
 
@@ -51,6 +51,16 @@
     )
 
 
+def leave_out(headers: Iterable[Header], names: Collection[bytes]) -> list[tuple[bytes, bytes]]:
+    """Return headers as pairs, without some.
+
+    Args:
+        headers: Headers with names in lower case.
+        names: Names of those to leave out, in lower case.
+    """
+    return [(header.name, header.value) for header in headers if header.name not in names]
+
+
 def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, or None.
 
--- a/src/samphirespring/platform/announcements.py
+++ b/src/samphirespring/platform/announcements.py
@@ -89,22 +89,20 @@
         announcement = translate_heartbeat(body)
         if announcement.address != self._target_address:
             raise AnnouncementInvalidError(f"{announcement.address} isn't on this host")
-        receipt: AnnouncementReceipt = await ask(
+        _: AnnouncementReceipt = await ask(
             self._agent,
             lambda reply: AnnounceTarget(target=target, announcement=announcement, reply=reply),
         )
-        del receipt
         return respond_json(_Receipt())
 
     async def _withdraw(self, request: Request) -> Response:
         target = TargetId(request.path_params["target"])
         body = await read_body(request.stream(), limit_bytes=HEARTBEAT_BYTES)
         started_ms = read_start_ms(body)
-        known: bool = await ask(
+        _: bool = await ask(
             self._agent,
             lambda reply: WithdrawTarget(target=target, started_ms=started_ms, reply=reply),
         )
-        del known
         return respond_json(_Receipt())
 
     async def _read_readiness(self, request: Request) -> Response:
--- a/src/samphirespring/platform/backend_dialect.py
+++ b/src/samphirespring/platform/backend_dialect.py
@@ -1,7 +1,7 @@
 """Requests and answers on the connection to a target of the platform."""
 
 from samphirespring.connection.backend_dialect import BackendDialect, HttpHeaders
-from samphirespring.connection.http_headers import find_header
+from samphirespring.connection.http_headers import find_header, leave_out
 from samphirespring.connection.refusals import RefusalReader, TypedRefusal
 from samphirespring.platform.headers import DEADLINE_MS, NOT_EXECUTED, REQUEST_ID, SEAL, TARGET_ID
 from samphirespring.request.messages import AnswerHead, AttemptRequest
@@ -20,11 +20,7 @@
 
     def make_headers(self, request: AttemptRequest) -> HttpHeaders:
         """Return the headers of an attempt."""
-        headers = [
-            (header.name, header.value)
-            for header in request.headers
-            if header.name not in REPLACED_HEADERS
-        ]
+        headers = leave_out(request.headers, REPLACED_HEADERS)
         headers.append((DEADLINE_MS, str(request.remaining_ms).encode()))
         headers.append((TARGET_ID, request.target.encode()))
         return headers
--- a/src/samphirespring/platform/caller_dialect.py
+++ b/src/samphirespring/platform/caller_dialect.py
@@ -7,13 +7,13 @@
 from samphirespring.connection.caller_dialect import (
     CallerDialect,
     HttpAnswerHead,
+    list_problem_headers,
     read_address,
     read_deadline_ms,
     read_host,
     read_target,
 )
 from samphirespring.connection.http_headers import select_end_to_end
-from samphirespring.connection.problems import PROBLEM_CONTENT_TYPE
 from samphirespring.platform.headers import CALLER_SERVICE, DEADLINE_MS, REQUEST_ID, SEAL
 from samphirespring.process.errors import SamphireError
 from samphirespring.request.caller import AnswerFacts, CallerRequest
@@ -80,11 +80,7 @@
         self, error: SamphireError, status: int, request_id: RequestId, *, body_length: int
     ) -> HttpAnswerHead:
         """Return the head of a problem report."""
-        headers = [
-            Header(b"content-type", PROBLEM_CONTENT_TYPE),
-            Header(b"content-length", str(body_length).encode()),
-            Header(REQUEST_ID, request_id.encode("latin-1")),
-        ]
+        headers = list_problem_headers(REQUEST_ID, request_id, body_length=body_length)
         is_proved = isinstance(error, RequestError) and error.outcome is Outcome.NOT_RUN
         if status in NOT_RUN_STATUSES and not is_proved:
             status = BAD_GATEWAY
--- a/src/samphirespring/platform/edge.py
+++ b/src/samphirespring/platform/edge.py
@@ -41,8 +41,8 @@
 
     def make_caller_app(self, parts: NodeParts) -> CallerApp:
         """Return the ASGI application for clients."""
-        limits = self._settings.make_node_settings().limits
-        return CallerApp(parts.front, limits, PlatformCallerDialect(self._settings.service))
+        dialect = PlatformCallerDialect(self._settings.service)
+        return CallerApp(parts.front, self._settings.caller_limits, dialect)
 
     @asynccontextmanager
     async def serve_local(self, parts: NodeParts) -> AsyncIterator[None]:
--- a/src/samphirespring/platform/settings.py
+++ b/src/samphirespring/platform/settings.py
@@ -99,6 +99,11 @@
     service: ServiceName
     """Service of that target, which is where requests of this host come from."""
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Bounds on clients' requests."""
+        return CallerLimits(body_bytes=BODY_BYTES)
+
     def make_node_settings(self) -> NodeSettings:
         """Return the node's settings in the project's terms."""
         grace_s = self.read_grace_s()
@@ -112,7 +117,7 @@
             document_wait_s=DOCUMENT_WAIT_S,
             drain_grace_s=grace_s * LISTEN_SHARE,
             drain_timeout_s=grace_s * FINISH_SHARE,
-            limits=CallerLimits(body_bytes=BODY_BYTES),
+            limits=self.caller_limits,
         )
 
 
--- a/src/samphirespring/process/request_log.py
+++ b/src/samphirespring/process/request_log.py
@@ -5,7 +5,7 @@
 from samphirespring.process.timers import TimerService
 
 LINES_PER_S = 100
-"""Most lines on requests that were answered at once; those on failures are written first."""
+"""Most lines on requests in a second; those beyond are counted."""
 
 _log = EventLog()
 
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -88,12 +88,7 @@
             suspected: Targets that refused the request because others seemed better.
         """
         costs = [
-            _Cost(
-                value=_find_cost(choice, distance, tried),
-                hoped=_find_cost(choice, distance, tried) - _read_hope(choice, distance),
-                draw=self._generator.random(),
-                choice=choice,
-            )
+            _weigh(choice, distance, tried, draw=self._generator.random())
             for distance, tier in zip(Distance, tiers, strict=True)
             for choice in tier
         ]
@@ -140,6 +135,14 @@
     return best.choice, max(LEAST_MAX_RISK, room)
 
 
+def _weigh(
+    choice: Choice, distance: Distance, tried: Collection[TargetId], *, draw: float
+) -> _Cost:
+    value = _find_cost(choice, distance, tried)
+    hoped = value - _read_hope(choice, distance)
+    return _Cost(value=value, hoped=hoped, draw=draw, choice=choice)
+
+
 def _find_hope(costs: Sequence[_Cost]) -> float:
     return min(cost.hoped for cost in costs)
 
