Serve metrics as text, kept since the start of the process

Cause: the users' on-call engineers fetch counters and latencies as text; there was statsd only. Metrics now go to exporters (statsd, text by prometheus_client), and nodes and control hosts serve /metrics where the settings say so. Three names gain a word, since a metric with a label and one without it must not share a name: action.outcomes.OUTCOME, ledger.results.RESULT, ledger.claims.GROUP.STATE.

--- /dev/null
+++ b/src/samphirespring/connection/metrics_http.py
@@ -0,0 +1,38 @@
+"""Metrics as text over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from samphirespring.connection.http_server import serve_http
+from samphirespring.process.metrics import Metrics
+
+PATH = "/metrics"
+
+
+@asynccontextmanager
+async def serve_metrics(metrics: Metrics, *, address: str | None) -> AsyncIterator[None]:
+    """Serve the metrics while the context is open.
+
+    Args:
+        metrics: The metrics.
+        address: `IP:port` to listen on; None serves nothing.
+
+    Raises:
+        AddressUnavailableError: The address is taken or isn't one of this host.
+    """
+
+    async def respond(request: Request) -> Response:
+        return Response(await metrics.read_text(), headers={"content-type": CONTENT_TYPE_LATEST})
+
+    if address is None:
+        yield
+        return
+    app = Starlette(routes=[Route(PATH, respond, methods=["GET"])])
+    async with serve_http(app, address=address):
+        yield
--- a/src/samphirespring/platform/settings.py
+++ b/src/samphirespring/platform/settings.py
@@ -115,6 +115,7 @@
             control_links=self.seed_links,
             report_interval_s=REPORT_INTERVAL_S,
             document_wait_s=DOCUMENT_WAIT_S,
+            metrics_listen=self.metrics_address,
             drain_grace_s=grace_s * LISTEN_SHARE,
             drain_timeout_s=grace_s * FINISH_SHARE,
             limits=self.caller_limits,
@@ -142,6 +143,7 @@
             replica=ReplicaId(self.link_address),
             link_listen=self.link_address,
             operator_listen=self.operator_listen,
+            metrics_listen=self.metrics_address,
             discovery=DiscoverySettings(
                 seeds=self.seed_links,
                 first_start=self.first_start,
--- a/src/samphirespring/process/metric_messages.py
+++ b/src/samphirespring/process/metric_messages.py
@@ -1,18 +1,22 @@
-"""Messages to the task that sends the process's metrics."""
+"""Messages to the task that owns the process's metrics."""
 
 from dataclasses import dataclass
 
+from samphirespring.process.metric_names import Counter, Gauge, Timing
+
 
 @dataclass(frozen=True, slots=True)
 class AddToCounter:
     """Adds to a counter.
 
     Attributes:
-        name: Full name of the metric.
+        name: The counter.
+        parts: What stands for the words in capitals of its name.
         amount: What to add.
     """
 
-    name: str
+    name: Counter
+    parts: tuple[str, ...]
     amount: int
 
 
@@ -21,11 +25,13 @@
     """Sets a gauge.
 
     Attributes:
-        name: Full name of the metric.
+        name: The gauge.
+        parts: What stands for the words in capitals of its name.
         value: The value from now on.
     """
 
-    name: str
+    name: Gauge
+    parts: tuple[str, ...]
     value: float
 
 
@@ -34,11 +40,11 @@
     """Records one duration.
 
     Attributes:
-        name: Full name of the metric.
+        name: What lasted so long.
         duration_s: The duration, in seconds.
     """
 
-    name: str
+    name: Timing
     duration_s: float
 
 
--- a/src/samphirespring/process/metric_names.py
+++ b/src/samphirespring/process/metric_names.py
@@ -45,11 +45,11 @@
     AGENT_REFUSALS = "agent.refusals.REASON"
 
     # Actions and the ledger.
-    ACTION_OUTCOMES = "action.OUTCOME"
+    ACTION_OUTCOMES = "action.outcomes.OUTCOME"
     ACTION_JOINED = "action.joined"
     ACTION_REPLAYED = "action.replayed"
     ACTION_RECORD_FAILED = "action.record_failed"
-    LEDGER_RESULTS = "ledger.RESULT"
+    LEDGER_RESULTS = "ledger.results.RESULT"
 
     # Registry.
     REGISTRY_REPORTS = "registry.reports"
@@ -76,7 +76,7 @@
     AGENT_QUEUE_WAITING = "agent.queue.waiting"
     AGENT_SLOTS = "agent.slots.all"
     AGENT_SLOTS_USED = "agent.slots.used"
-    LEDGER_CLAIMS = "ledger.GROUP.STATE"
+    LEDGER_CLAIMS = "ledger.claims.GROUP.STATE"
     REGISTRY_HELD = "registry.held"
     DOCUMENT_VERSION = "document.version"
 
--- a/src/samphirespring/process/metric_summary.py
+++ b/src/samphirespring/process/metric_summary.py
@@ -10,6 +10,7 @@
     RecordDuration,
     SetGauge,
 )
+from samphirespring.process.metric_names import make_metric_name
 
 MAX_DURATIONS = 20
 """Durations of one name that are sent for one interval; a random sample of them all."""
@@ -67,10 +68,10 @@
             message: The use.
         """
         match message:
-            case AddToCounter(name=name, amount=amount):
-                self.counts[name] += amount
-            case SetGauge(name=name, value=value):
-                self.gauges[name] = value
-            case RecordDuration(name=name, duration_s=duration_s):
-                sample = self.durations.setdefault(name, DurationSample())
-                sample.add(duration_s, generator=self._generator)
+            case AddToCounter():
+                self.counts[make_metric_name(message.name, message.parts)] += message.amount
+            case SetGauge():
+                self.gauges[make_metric_name(message.name, message.parts)] = message.value
+            case RecordDuration():
+                sample = self.durations.setdefault(message.name.value, DurationSample())
+                sample.add(message.duration_s, generator=self._generator)
--- a/src/samphirespring/process/metrics.py
+++ b/src/samphirespring/process/metrics.py
@@ -1,35 +1,39 @@
-"""Metrics of the process, sent by statsd."""
+"""Metrics of the process: counted by its parts, exported once in an interval."""
 
 import random
 from abc import abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 import anyio
-from statsd import StatsClient
 
-from samphirespring.process.addresses import parse_address
-from samphirespring.process.mailbox import InboxFullError, Mailbox
+from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask
+from samphirespring.process.metric_exporter import MetricExporter
 from samphirespring.process.metric_messages import (
     AddToCounter,
     MetricMessage,
     RecordDuration,
     SetGauge,
 )
-from samphirespring.process.metric_names import Counter, Gauge, Timing, make_metric_name
-from samphirespring.process.metric_summary import MetricSummary
+from samphirespring.process.metric_names import Counter, Gauge, Timing
 from samphirespring.process.settings import StatsdSettings
+from samphirespring.process.statsd_exporter import StatsdExporter
 from samphirespring.process.tasks import OwnerTask, StateDump
+from samphirespring.process.text_exporter import TextExporter
 from samphirespring.process.timers import TimerService
 
-SEND_INTERVAL_S = 1.0
+EXPORT_INTERVAL_S = 1.0
 INBOX_CAPACITY = 20_000
 """Uses of metrics in one interval; more are lost and counted."""
 
+QUESTIONS_CAPACITY = 100
+
 
 class MetricsDump(StateDump, frozen=True, kw_only=True):
     """State of the metrics."""
 
     sent: int = 0
-    """Uses of metrics that were sent."""
+    """Uses of metrics that were exported."""
 
     lost: int = 0
     """Uses of metrics beyond what one interval holds."""
@@ -43,6 +47,10 @@
         """Name in dumps and logs."""
         return "metrics"
 
+    async def read_text(self) -> bytes:
+        """Return all metrics as text; a process that keeps none returns nothing."""
+        return b""
+
     @abstractmethod
     def count(self, name: Counter, *parts: str, amount: int = 1) -> None:
         """Add to a counter.
@@ -73,51 +81,68 @@
         """
 
 
-class StatsdMetrics(Metrics):
-    """Metrics over UDP to a statsd server, summed up so that packets don't grow with requests.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadText:
+    """Asks for all metrics as text."""
+
+    reply: ReplySlot[bytes]
+
+
+class ExportedMetrics(Metrics):
+    """Metrics that go to exporters, once in an interval.
 
     Args:
-        settings: Address and prefix.
+        exporters: Where the metrics go; this task owns them.
         timers: The timer service.
-        generator: Source of random numbers.
+        text: The exporter that keeps them as text, one of `exporters`; None keeps none.
     """
 
     def __init__(
-        self, settings: StatsdSettings, *, timers: TimerService, generator: random.Random
+        self,
+        exporters: Sequence[MetricExporter],
+        *,
+        timers: TimerService,
+        text: TextExporter | None = None,
     ) -> None:
         self._inbox: Mailbox[MetricMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
+        self._questions: Mailbox[ReadText] = Mailbox(name=self.name, capacity=QUESTIONS_CAPACITY)
+        self._exporters = exporters
         self._timers = timers
-        self._generator = generator
-        self._settings = settings
+        self._text = text
         self._sent = 0
         self._lost = 0
 
     async def run(self) -> None:
-        """Send what was counted and measured, once in an interval, until cancelled."""
-        address = parse_address(self._settings.address)
-        client = StatsClient(address.host, address.port, prefix=self._settings.prefix)
+        """Export what was counted and measured until cancelled."""
         try:
-            async for _ in self._timers.subscribe(interval_s=SEND_INTERVAL_S):
-                self._send(client)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._answer)
+                async for _ in self._timers.subscribe(interval_s=EXPORT_INTERVAL_S):
+                    self._export()
         finally:
-            self._send(client)
-            client.close()
+            self._export()
+            for exporter in self._exporters:
+                exporter.close()
 
     async def dump(self) -> MetricsDump:
-        """Return how much was sent and lost."""
+        """Return how much was exported and lost."""
         return MetricsDump(sent=self._sent, lost=self._lost)
 
+    async def read_text(self) -> bytes:
+        """Return all metrics as text."""
+        return await ask(self._questions, lambda reply: ReadText(reply=reply))
+
     def count(self, name: Counter, *parts: str, amount: int = 1) -> None:
         """Add to a counter."""
-        self._post(AddToCounter(make_metric_name(name, parts), amount))
+        self._post(AddToCounter(name, parts, amount))
 
     def set_gauge(self, name: Gauge, *parts: str, value: float) -> None:
         """Set a gauge."""
-        self._post(SetGauge(make_metric_name(name, parts), value))
+        self._post(SetGauge(name, parts, value))
 
     def record_duration(self, name: Timing, duration_s: float) -> None:
         """Record one duration."""
-        self._post(RecordDuration(name.value, duration_s))
+        self._post(RecordDuration(name, duration_s))
 
     def _post(self, message: MetricMessage) -> None:
         try:
@@ -126,23 +151,21 @@
             # A busy process loses figures rather than requests.
             self._lost += 1
 
-    def _send(self, client: StatsClient) -> None:
-        summary = MetricSummary(generator=self._generator)
-        for message in self._inbox.take_waiting():
-            summary.add(message)
-            self._sent += 1
-        with client.pipeline() as pipeline:
-            for name, amount in summary.counts.items():
-                pipeline.incr(name, amount)
-            for name, value in summary.gauges.items():
-                pipeline.gauge(name, value)
-            for name, sample in summary.durations.items():
-                for duration_s in sample.durations_s:
-                    pipeline.timing(name, duration_s * 1_000)
+    async def _answer(self) -> None:
+        while True:
+            question = await self._questions.receive()
+            self._export()
+            question.reply.reply(b"" if self._text is None else self._text.render())
+
+    def _export(self) -> None:
+        messages = self._inbox.take_waiting()
+        self._sent += len(messages)
+        for exporter in self._exporters:
+            exporter.export(messages)
 
 
 class NullMetrics(Metrics):
-    """Metrics of a process without a statsd server."""
+    """Metrics of a process that exports none."""
 
     async def run(self) -> None:
         """Do nothing until cancelled."""
@@ -163,15 +186,24 @@
 
 
 def make_metrics(
-    settings: StatsdSettings | None, *, timers: TimerService, generator: random.Random
+    statsd: StatsdSettings | None,
+    *,
+    as_text: bool,
+    timers: TimerService,
+    generator: random.Random,
 ) -> Metrics:
     """Return the metrics that some settings ask for.
 
     Args:
-        settings: Where to send metrics; None sends none.
+        statsd: Where to send metrics; None sends none.
+        as_text: Whether to keep them as text.
         timers: The timer service.
         generator: Source of random numbers.
     """
-    if settings is None:
+    text = TextExporter() if as_text else None
+    exporters: list[MetricExporter] = [] if text is None else [text]
+    if statsd is not None:
+        exporters.append(StatsdExporter(statsd, generator=generator))
+    if not exporters:
         return NullMetrics()
-    return StatsdMetrics(settings, timers=timers, generator=generator)
+    return ExportedMetrics(exporters, timers=timers, text=text)
--- a/src/samphirespring/process/programs/control.py
+++ b/src/samphirespring/process/programs/control.py
@@ -18,6 +18,7 @@
 from samphirespring.connection.http_server import serve_http
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.link_server import LinkHandler, UnaryHandler, serve_link
+from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.connection.operator_http import OperatorApp
 from samphirespring.connection.registry_link import REPORT_HOSTS
 from samphirespring.process.control_groups import ControlGroups
@@ -89,7 +90,10 @@
         self._edge = edge
         timers = MonotonicTimerService()
         self._metrics = metrics = make_metrics(
-            settings.statsd, timers=timers, generator=random.Random()
+            settings.statsd,
+            as_text=settings.metrics_listen is not None,
+            timers=timers,
+            generator=random.Random(),
         )
         store = TlsStore()
         tls = store.make_client(settings.link_tls)
@@ -144,6 +148,7 @@
         async with (
             watch_for_stop() as stop,
             run_tasks(self._tasks),
+            serve_metrics(self._metrics, address=self._settings.metrics_listen),
             serve_link(
                 self._make_handlers(),
                 address=self._settings.link_listen,
--- a/src/samphirespring/process/programs/node.py
+++ b/src/samphirespring/process/programs/node.py
@@ -30,6 +30,7 @@
 )
 from samphirespring.connection.local_attempts import LocalFirstSender
 from samphirespring.connection.local_http import LocalApp
+from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.connection.operation_link import DRAIN, DUMP
 from samphirespring.connection.path_link import PING, answer_ping
 from samphirespring.connection.registry_link import REPORT_HOSTS
@@ -145,7 +146,10 @@
         )
         generator = random.Random()
         self._metrics = metrics = make_metrics(
-            settings.statsd, timers=self._timers, generator=generator
+            settings.statsd,
+            as_text=settings.metrics_listen is not None,
+            timers=self._timers,
+            generator=generator,
         )
         store = TlsStore()
         self._link_tls = store.make_server(settings.link_tls, mutual=True)
@@ -318,6 +322,7 @@
             async with (
                 watch_for_stop() as stop,
                 run_tasks(self._tasks),
+                serve_metrics(self._metrics, address=self._settings.metrics_listen),
                 self._serve_links(),
                 self._edge.serve_local(self._parts),
             ):
--- a/src/samphirespring/process/settings.py
+++ b/src/samphirespring/process/settings.py
@@ -150,6 +150,9 @@
     statsd: StatsdSettings | None = None
     """Where metrics go; null sends none."""
 
+    metrics_listen: ListenAddress | None = None
+    """`IP:port` where `/metrics` gives the metrics as text; null serves none."""
+
 
 class ReplicaPeer(_Part, frozen=True, kw_only=True):
     """One control host as its peers reach it."""
@@ -229,6 +232,9 @@
     statsd: StatsdSettings | None = None
     """Where metrics go; null sends none."""
 
+    metrics_listen: ListenAddress | None = None
+    """`IP:port` where `/metrics` gives the metrics as text; null serves none."""
+
     def __post_init__(self) -> None:
         """Compare the fields that depend on each other."""
         if bool(self.peers) is (self.discovery is not None):
--- /dev/null
+++ b/src/samphirespring/process/text_exporter.py
@@ -0,0 +1,90 @@
+"""Metrics since the start of the process, as text that collectors fetch."""
+
+import re
+from collections.abc import Sequence
+
+import prometheus_client
+from prometheus_client import CollectorRegistry, generate_latest
+
+from samphirespring.process.metric_exporter import MetricExporter
+from samphirespring.process.metric_messages import (
+    AddToCounter,
+    MetricMessage,
+    RecordDuration,
+    SetGauge,
+)
+from samphirespring.process.metric_names import Counter, Gauge, MetricName, Timing
+
+PREFIX = "samphire_"
+
+DURATION_BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+"""Upper bounds of the histograms' buckets, in seconds."""
+
+_PART = re.compile(r"\b[A-Z]+\b")
+
+
+class TextExporter(MetricExporter):
+    """Sums up all metrics; words in capitals of their names become labels."""
+
+    def __init__(self) -> None:
+        self._registry = registry = CollectorRegistry()
+        self._counters = {
+            name: prometheus_client.Counter(
+                make_text_name(name), name.value, find_labels(name), registry=registry
+            )
+            for name in Counter
+        }
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                make_text_name(name), name.value, find_labels(name), registry=registry
+            )
+            for name in Gauge
+        }
+        self._timings = {
+            name: prometheus_client.Histogram(
+                make_text_name(name), name.value, buckets=DURATION_BOUNDS_S, registry=registry
+            )
+            for name in Timing
+        }
+
+    def export(self, messages: Sequence[MetricMessage]) -> None:
+        """Add some uses."""
+        for message in messages:
+            match message:
+                case AddToCounter():
+                    counter = self._counters[message.name]
+                    (counter.labels(*message.parts) if message.parts else counter).inc(
+                        message.amount
+                    )
+                case SetGauge():
+                    gauge = self._gauges[message.name]
+                    (gauge.labels(*message.parts) if message.parts else gauge).set(message.value)
+                case RecordDuration():
+                    self._timings[message.name].observe(message.duration_s)
+
+    def close(self) -> None:
+        """Do nothing: the text needs no clean-up."""
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+
+def make_text_name(name: MetricName) -> str:
+    """Return the name of a metric in the text; counters get `_total` behind it.
+
+    Args:
+        name: The metric.
+    """
+    words = [word for word in name.value.split(".") if not _PART.fullmatch(word)]
+    unit = "_seconds" if isinstance(name, Timing) else ""
+    return PREFIX + "_".join(words) + unit
+
+
+def find_labels(name: MetricName) -> tuple[str, ...]:
+    """Return the labels of a metric: the words in capitals of its name, in lower case.
+
+    Args:
+        name: The metric.
+    """
+    return tuple(word.lower() for word in _PART.findall(name.value))
--- a/tests/features/metrics.feature
+++ b/tests/features/metrics.feature
@@ -20,3 +20,14 @@
     Given a codec that counts its bytes
     When it encodes and decodes an attempt and a registry's reply
     Then the bytes sent and received are those of the attempt and of the reply, apart
+
+  Scenario: A collector fetches all metrics as text
+    Given metrics that are kept as text
+    When requests, a gauge and durations of 4 and 40 ms are noted over two intervals
+    Then the text over HTTP has
+      | line                                                   |
+      | samphire_front_requests_total{outcome="answered"} 6.0  |
+      | samphire_document_version 40.0                         |
+      | samphire_front_request_duration_seconds_bucket{le="0.005"} 1.0 |
+      | samphire_front_request_duration_seconds_count 2.0      |
+    And every metric has a name and labels in the text
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -1,21 +1,27 @@
+import os
 import random
 import re
 import socket
 from statistics import mean
 
 import anyio
+import httpcore
 from behave import given, then, when
 
 from front.fakes import CountingMetrics, make_attempt_message
 from samphirespring.connection.codec import MsgpackCodec
+from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.process.metric_messages import RecordDuration
 from samphirespring.process.metric_names import Counter, Gauge, Timing
 from samphirespring.process.metric_summary import MetricSummary
-from samphirespring.process.metrics import SEND_INTERVAL_S, StatsdMetrics
+from samphirespring.process.metrics import EXPORT_INTERVAL_S, make_metrics
 from samphirespring.process.settings import StatsdSettings
 from samphirespring.process.targets import RegistryDelta
+from samphirespring.process.text_exporter import find_labels, make_text_name
 from samphirespring.process.timers import ManualTimerService
 
+METRICS_PORT = 20_990 + int(os.environ.get("SAMPHIRE_PORT_OFFSET", "0"))
+METRICS_ADDRESS = f"127.0.0.1:{METRICS_PORT}"
 LINE = re.compile(r"fleet\.([a-z_.]+):([0-9.]+)\|(c|g|ms)")
 
 
@@ -28,10 +34,9 @@
     context.stand_in = stand_in
     context.timers = ManualTimerService()
     address = f"127.0.0.1:{stand_in.getsockname()[1]}"
-    context.metrics = StatsdMetrics(
-        StatsdSettings(address=address, prefix="fleet"),
-        timers=context.timers,
-        generator=random.Random(1),
+    settings = StatsdSettings(address=address, prefix="fleet")
+    context.metrics = make_metrics(
+        settings, as_text=False, timers=context.timers, generator=random.Random(1)
     )
 
 
@@ -74,7 +79,7 @@
     run_metrics(
         context,
         lambda metrics: use_often(metrics, attempts=attempts, durations=durations, gauges=gauges),
-        span_s=SEND_INTERVAL_S,
+        span_s=EXPORT_INTERVAL_S,
     )
 
 
@@ -117,8 +122,8 @@
     for seed in range(count):
         summary = MetricSummary(generator=random.Random(seed))
         for number in range(1_000):
-            summary.add(RecordDuration("d", float(number)))
-        context.sampled.extend(summary.durations["d"].durations_s)
+            summary.add(RecordDuration(Timing.REPLICATION_WRITE, float(number)))
+        context.sampled.extend(summary.durations[Timing.REPLICATION_WRITE.value].durations_s)
 
 
 @then("the mean of all sampled durations is between {low:d} and {high:d}")
@@ -152,3 +157,50 @@
         for traffic, size in context.sizes.items()
         for way in ("sent", "received")
     }
+
+
+@given("metrics that are kept as text")
+def step_text_metrics(context):
+    context.timers = ManualTimerService()
+    context.metrics = make_metrics(
+        None, as_text=True, timers=context.timers, generator=random.Random(1)
+    )
+
+
+@when("requests, a gauge and durations of {first:d} and {second:d} ms are noted over two intervals")
+def step_note(context, first, second):
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(context.metrics.run)
+            for duration_ms in (first, second):
+                context.metrics.count(Counter.FRONT_REQUESTS, "answered", amount=3)
+                context.metrics.set_gauge(Gauge.DOCUMENT_VERSION, value=float(duration_ms))
+                context.metrics.record_duration(Timing.FRONT_REQUEST_DURATION, duration_ms / 1_000)
+                await anyio.wait_all_tasks_blocked()
+                context.timers.advance(EXPORT_INTERVAL_S)
+            async with serve_metrics(context.metrics, address=METRICS_ADDRESS):
+                context.answer = await get_metrics()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def get_metrics():
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request("GET", f"http://{METRICS_ADDRESS}/metrics")
+
+
+@then("the text over HTTP has")
+def step_check_text(context):
+    assert context.answer.status == 200
+    lines = context.answer.content.decode().splitlines()
+    for row in context.table:
+        assert row["line"] in lines, row["line"]
+
+
+@then("every metric has a name and labels in the text")
+def step_check_names(context):
+    for name in (*Counter, *Gauge, *Timing):
+        text_name = make_text_name(name)
+        assert re.fullmatch("samphire_[a-z_]+", text_name), text_name
+        assert all(re.fullmatch("[a-z]+", label) for label in find_labels(name)), name
