Bound the opening of links, and send nothing to hosts that are silent

A call without a bound for opening waits for the kernel, which repeats a lost first packet after 1, 2, 4 and 8 s: the node's questions for a newer version, which may take 10 to 30 s, were still opening 3 s after the cut had ended; and it had turned to peers, as cut off as itself, for 10 s at a time. Calls now have 0.5 s to open (1.5 s with TLS), and peers are asked for 1 s at a time.

Now a link whose kernel has waited in vain for an acknowledgement takes no attempt, which costs the request nothing: what reached nobody no longer counts as one of the route's attempts, and another target is asked at once. Scenarios in link_break and request_decisions.

--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -30,9 +30,12 @@
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.metrics import Metrics
 
-OPEN_TIMEOUT_S = 1.0
+OPEN_TIMEOUT_S = 0.5
 """Longest wait for a connection and a new stream on it, in seconds."""
 
+TLS_OPEN_TIMEOUT_S = 1.5
+"""The same with the handshake of TLS, in seconds."""
+
 SILENCE_MS = 2_000
 """How long sent bytes stay unacknowledged before the connection counts as broken."""
 
@@ -41,15 +44,23 @@
 KEEPALIVE_PROBES = 2
 
 
+TCP_INFO_HEAD_BYTES = 8
+TCP_INFO_RETRANSMITS_AT = 2
+"""Offset of the number of timeouts in a row without an acknowledgement, in the kernel's record."""
+
+
 class _WatchedChannel(grpclib.client.Channel):
     """Channel whose connection breaks soon after the peer has fallen silent."""
 
+    link_socket: socket.socket | None = None
+
     async def _create_connection(self) -> Any:
         protocol = await super()._create_connection()
         connection = protocol.connection
         link_socket = connection._transport.get_extra_info("socket")
         if link_socket is not None:
             watch_for_silence(link_socket)
+        self.link_socket = link_socket
         return protocol
 
 
@@ -66,6 +77,22 @@
     link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
 
 
+def is_silent(link_socket: socket.socket) -> bool:
+    """Return whether the peer has let the kernel's timeout for an acknowledgement pass.
+
+    Bytes that were sent are underway without a sign of life for some 0.2 s and the round trip. The
+    connection isn't broken yet: the peer may be lost, or packets are.
+
+    Args:
+        link_socket: The socket; a closed one isn't silent.
+    """
+    try:
+        head = link_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_HEAD_BYTES)
+    except OSError:
+        return False
+    return head[TCP_INFO_RETRANSMITS_AT] > 0
+
+
 class Link:
     """Connection to one process; it is opened on first use and again after a break.
 
@@ -84,6 +111,7 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
+        self._open_timeout_s = OPEN_TIMEOUT_S if tls is None else TLS_OPEN_TIMEOUT_S
         self._channel = _WatchedChannel(host, int(port), codec=MsgpackCodec(metrics), ssl=tls)
 
     def close(self) -> None:
@@ -108,10 +136,17 @@
         call = grpclib.client.UnaryUnaryMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
-        with _convert_errors(self.address):
-            with anyio.fail_after(timeout_s):
-                reply: ReplyT = await call(request)
-            return reply
+        with _convert_errors(self.address), anyio.fail_after(timeout_s):
+            async with call.open() as stream:
+                # Without a bound of its own a lost first packet would cost the whole time.
+                with anyio.fail_after(self._open_timeout_s):
+                    await stream.send_request()
+                await stream.send_message(request, end=True)
+                reply = await stream.recv_message()
+            if reply is None:
+                raise LinkUnavailableError(f"{self.address}: no reply", sent=True)
+            answer: ReplyT = reply
+            return answer
 
     @asynccontextmanager
     async def open_stream(
@@ -124,10 +159,11 @@
             request: The request.
 
         Raises:
-            LinkUnavailableError: The link can't be opened, or broke.
+            LinkUnavailableError: The link can't be opened, broke, or the peer is silent.
             LinkMessageInvalidError: A reply isn't of the declared type.
             RemoteError: The peer answered with an error.
         """
+        self._check_for_silence()
         call = grpclib.client.UnaryStreamMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
@@ -135,7 +171,7 @@
         try:
             with undo_library_cancellation():
                 async with call.open() as stream:
-                    with anyio.fail_after(OPEN_TIMEOUT_S):
+                    with anyio.fail_after(self._open_timeout_s):
                         await stream.send_request()
                     sent = True
                     await stream.send_message(request, end=True)
@@ -150,6 +186,12 @@
         except GRPCError as error:
             raise _read_remote_error(error) from None
 
+    def _check_for_silence(self) -> None:
+        """Send nothing that must not be lost to a peer that seems lost."""
+        link_socket = self._channel.link_socket
+        if link_socket is not None and is_silent(link_socket):
+            raise LinkUnavailableError(f"{self.address}: the peer is silent", sent=False)
+
     @asynccontextmanager
     async def open_upload(
         self, method: UploadMethod[RequestT, ReplyT], *, timeout_s: float
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -45,6 +45,9 @@
 REPLY_MARGIN_S = 2.0
 """Time that a source gets beyond the wait it was asked for, in seconds."""
 
+PEER_WAIT_S = 1.0
+"""Longest wait for a notice of peers that may know as little as the own host, in seconds."""
+
 FETCH_TIMEOUT_S = 10.0
 HINT_PATIENCE_S = 0.25
 """How long the sources have to bring a version that others tell of, in seconds."""
@@ -219,12 +222,11 @@
         return choose_notice(heard)
 
     async def _watch(self, address: str, *, kind: SourceKind) -> DocumentNotice | None:
-        request = WatchDocument(known=self._sections.stamp, wait_s=self._wait_s)
+        wait_s = PEER_WAIT_S if kind is SourceKind.PEER else self._wait_s
+        request = WatchDocument(known=self._sections.stamp, wait_s=wait_s)
         try:
             with self._links.use(address) as link:
-                notice = await link.call(
-                    WATCH_DOCUMENT, request, timeout_s=self._wait_s + REPLY_MARGIN_S
-                )
+                notice = await link.call(WATCH_DOCUMENT, request, timeout_s=wait_s + REPLY_MARGIN_S)
         except SamphireError as error:
             self._note_failure(address, error)
             return None
--- a/src/samphirespring/request/retry.py
+++ b/src/samphirespring/request/retry.py
@@ -12,7 +12,7 @@
 
 HELPER_MAX_ATTEMPTS = 2
 MAX_REFUSED_ATTEMPTS = 10
-"""Refused attempts of one request, whatever its wait budgets allow."""
+"""Attempts of one request that were refused or reached nobody, whatever its wait budgets allow."""
 
 BACKOFF_BASE_S = 0.010
 BACKOFF_LIMIT_S = 1.0
@@ -142,7 +142,7 @@
             self._failed_count += 1
 
     def _count(self, end: AttemptRefused | AttemptFailed) -> None:
-        if isinstance(end, AttemptRefused):
+        if isinstance(end, AttemptRefused) or not end.started:
             self._refused_count += 1
         else:
             self._failed_count += 1
@@ -156,9 +156,9 @@
 
     def _plan_wait(self, end: AttemptRefused | AttemptFailed) -> RetryStep:
         if isinstance(end, AttemptFailed):
-            return RetryStep(
-                decision=RetryDecision.RETRY, delay_s=self._draw_backoff_s(self._failed_count)
-            )
+            # What reached nobody needs no pause: another target may serve at once.
+            delay_s = self._draw_backoff_s(self._failed_count) if end.started else 0.0
+            return RetryStep(decision=RetryDecision.RETRY, delay_s=delay_s)
         if end.code is RefusalCode.EXPIRED:
             return GIVE_UP
         if end.code is RefusalCode.RATE_LIMITED:
--- a/tests/features/request_decisions.feature
+++ b/tests/features/request_decisions.feature
@@ -51,6 +51,10 @@
     When a request is refused as "rate_limited" with a hint of 21000 ms
     Then it failed after 1 attempt within 100 ms with "rate_limited", not run, and a wait of 21 s
 
+  Scenario: Targets that can't be reached cost an action no attempt that may run, and no pause
+    When an action meets 4 targets that can't be reached before one that answers
+    Then it has its answer after 5 attempts within 20 ms
+
   Scenario: Waits for capacity don't spend the budget for rate limits
     When a request is refused as "no_slot" with 700 ms, "rate_limited" with 1500 ms and "no_slot" with 700 ms
     Then it failed after 3 attempts within 2500 ms with "refused", not run, and a wait of 1 s
--- a/tests/features/steps/link_break_steps.py
+++ b/tests/features/steps/link_break_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import os
+import socket
 
 import anyio
 from behave import given, then, when
@@ -72,3 +73,94 @@
 def step_check_reached(context):
     assert context.reached
     assert context.cancellations == 0, "the task takes itself for cancelled"
+
+
+class FakeSocket:
+    """A socket whose kernel has waited so often in vain."""
+
+    def __init__(self, timeouts):
+        self.head = bytes([1, 0, timeouts, 0, 0, 0, 0, 0])
+
+    def getsockopt(self, level, option, size):
+        assert (level, option) == (socket.IPPROTO_TCP, socket.TCP_INFO)
+        return self.head[:size]
+
+
+@given("a link whose kernel has waited in vain {timeouts:d} times")
+def step_silent_link(context, timeouts):
+    context.link_socket = FakeSocket(timeouts)
+
+
+@when("a task makes a stream call")
+def step_stream_call(context):
+    context.received = 0
+    context.error = None
+
+    async def receive(stream):
+        context.received += len(await stream.receive())
+        await stream.aclose()
+
+    async def run_task(group):
+        link = Link(f"127.0.0.1:{PORT}")
+        link._channel.link_socket = context.link_socket
+        try:
+            await call_stream(link)
+        except SamphireError as error:
+            context.error = error
+        link.close()
+        group.cancel_scope.cancel()
+
+    async def main():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=PORT)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, receive)
+            group.start_soon(run_task, group)
+
+    anyio.run(main)
+
+
+@then("the call fails before anything is sent")
+def step_check_unsent(context):
+    assert context.error.sent is False
+    assert context.received == 0
+
+
+@then("the request is sent")
+def step_check_sent(context):
+    assert context.error.sent is True
+    assert context.received > 0
+
+
+@given("a host that answers no packet that opens a connection")
+def step_deaf_host(context):
+    # The kernel drops such packets while the queue of unaccepted connections is full.
+    listener = socket.create_server(("127.0.0.1", PORT), backlog=0)
+    context.add_cleanup(listener.close)
+    for _ in range(2):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(("127.0.0.1", PORT))
+        context.add_cleanup(filler.close)
+
+
+@when("a task makes a call that may take {span:d} s")
+def step_long_call(context, span):
+    async def main():
+        link = Link(f"127.0.0.1:{PORT}")
+        start_s = anyio.current_time()
+        try:
+            await link.call(
+                WATCH_DOCUMENT, WatchDocument(known=NO_STAMP, wait_s=0.0), timeout_s=float(span)
+            )
+        except SamphireError as error:
+            context.code = error.code.value
+        context.span_s = anyio.current_time() - start_s
+        link.close()
+
+    anyio.run(main)
+
+
+@then('the call fails with "{code}" within {limit:f} s')
+def step_check_soon(context, code, limit):
+    assert context.code == code
+    assert context.span_s <= limit, context.span_s
--- a/tests/features/steps/request_decisions_steps.py
+++ b/tests/features/steps/request_decisions_steps.py
@@ -241,6 +241,25 @@
     run_burst(context, fleet, 1)
 
 
+@when("an action meets {count:d} targets that can't be reached before one that answers")
+def step_unreached(context, count):
+    fates = iter([Fate(kind="not_started")] * count)
+    fleet = FakeFleet(
+        route=make_route(idempotent=False, deadline_ms=2_000),
+        service=ServicePolicy(),
+        choose_fate=lambda request: next(fates, Fate()),
+    )
+    run_burst(context, fleet, 1)
+
+
+@then("it has its answer after {count:d} attempts within {limit:d} ms")
+def step_check_reached(context, count, limit):
+    (call,) = context.fleet.calls
+    assert call.error is None, call.error
+    assert context.fleet.sender.attempts.total() == count
+    assert call.ended_s <= limit / 1_000, call.ended_s
+
+
 @when(
     'a request is refused as "{first}" with {first_ms:d} ms, "{second}" with {second_ms:d} ms'
     ' and "{third}" with {third_ms:d} ms'
