Keep the targets of a host that starts again, and wait for targets that announce themselves

An agent that has just started now tells of its host once a target has announced itself, or after 2 s; refusals by agents that don't know a target or drain it need no right to repeat, and after four of them pauses grow from 0.04 s; a host that reports from another one's address takes its place. settings_reloaded is no longer logged at each start.

--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -43,6 +43,9 @@
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
 from samphirespring.request.states import RefusalCode
 
+FIRST_REPORT_WAIT_S = 2.0
+"""How long a process that has just started waits for targets before it tells that it has none."""
+
 INBOX_CAPACITY = 10_000
 EXPIRY_INTERVAL_S = 0.5
 REPORTED_WEIGHTS = {TargetCondition.TRIAL: TRIAL_WEIGHT, TargetCondition.SLOW_START: 0.5}
@@ -83,6 +86,7 @@
         self._draining = False
         self._operator_drain = OperatorDrain()
         self._record: HostRecord | None = None
+        self._first_report_s = timers.read_now_s() + FIRST_REPORT_WAIT_S
         self._order = AnnouncementOrder()
 
     @property
@@ -119,7 +123,7 @@
             case WithdrawTarget():
                 message.reply.reply(self._withdraw(message))
             case ReportHost():
-                message.reply.reply(self._make_record())
+                message.reply.reply(self._report_host())
             case DrainHost():
                 self._draining = True
                 self._refuse_waiting()
@@ -358,6 +362,17 @@
         self._refuse_waiting()
         return True
 
+    def _report_host(self) -> HostRecord | None:
+        """Return the host's record, or None while its targets may not have announced themselves.
+
+        What the registry has of an earlier process is nearer to the truth than a host without
+        targets.
+        """
+        is_first = self._record is None and not self._targets
+        if is_first and self._timers.read_now_s() < self._first_report_s:
+            return None
+        return self._make_record()
+
     def _make_record(self) -> HostRecord:
         """Return the host's record, with a new number where it differs from the last one."""
         known = self._record
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent_messages.py
@@ -140,7 +140,7 @@
 class ReportHost:
     """Asks for the host's record for the registry."""
 
-    reply: ReplySlot[HostRecord]
+    reply: ReplySlot[HostRecord | None]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/samphirespring/process/registry/machine.py
+++ b/src/samphirespring/process/registry/machine.py
@@ -28,6 +28,8 @@
 
     def __init__(self, *, removal_capacity: int = REMOVAL_CAPACITY) -> None:
         self._hosts = VersionedHosts(removal_capacity=removal_capacity)
+        self._holders: dict[str, HostId] = {}
+        """The host that had each link address last."""
 
     @property
     def version(self) -> RegistryVersion:
@@ -37,7 +39,7 @@
     def apply(self, *, index: LogIndex, command: ChangeHosts) -> HostsChanged:
         """Apply the changes that are newer than what is known; the others are dropped."""
         version = RegistryVersion(self._hosts.version + 1)
-        changed = [record.locality.host for record in command.records if self._put(record, version)]
+        changed = [host for record in command.records for host in self._put(record, version)]
         changed += [removal.host for removal in command.removals if self._remove(removal, version)]
         if changed:
             self._hosts.version = version
@@ -51,6 +53,10 @@
     def restore_snapshot(self, snapshot: RegistrySnapshot) -> None:
         """Replace the whole registry."""
         self._hosts.restore_snapshot(snapshot)
+        entries = sorted(self._hosts.list_present(), key=lambda entry: entry.incarnation)
+        self._holders = {
+            entry.record.link_address: entry.host for entry in entries if entry.record is not None
+        }
 
     def read_entry(self, host: HostId) -> HostEntry | None:
         """Return what is known of a host, also after its removal.
@@ -76,11 +82,25 @@
         """
         return self._hosts.read_delta(since)
 
-    def _put(self, record: HostRecord, version: RegistryVersion) -> bool:
+    def _put(self, record: HostRecord, version: RegistryVersion) -> list[HostId]:
+        """Take a host's record; return the hosts that change: none for an old record.
+
+        Where another host had the link address, the one that reports has it now: nobody reaches
+        the other one there. Clocks of two hosts don't tell which one started later.
+        """
         host = record.locality.host
         known = self._hosts.read_entry(host)
         if known is not None and _is_older(record, known):
-            return False
+            return []
+        other = self._find_other_holder(record)
+        changed = [host]
+        if other is not None:
+            removal = HostRemoval(
+                host=other.host, incarnation=other.incarnation, sequence=other.sequence
+            )
+            self._remove(removal, version)
+            changed.append(other.host)
+        self._holders[record.link_address] = host
         self._hosts.replace(
             HostEntry(
                 host=host,
@@ -90,7 +110,17 @@
                 record=record,
             )
         )
-        return True
+        return changed
+
+    def _find_other_holder(self, record: HostRecord) -> HostEntry | None:
+        """Return another host that is present with the link address of a record."""
+        holder = self._holders.get(record.link_address)
+        if holder is None or holder == record.locality.host:
+            return None
+        entry = self._hosts.read_entry(holder)
+        if entry is None or entry.record is None:
+            return None
+        return entry if entry.record.link_address == record.link_address else None
 
     def _remove(self, removal: HostRemoval, version: RegistryVersion) -> bool:
         known = self._hosts.read_entry(removal.host)
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -24,6 +24,9 @@
 from samphirespring.version.stamp import NO_STAMP
 
 INBOX_CAPACITY = 1_000
+FIRST_CHECK_INTERVAL_S = 0.1
+"""Time between two looks for the own host's first report, in seconds."""
+
 FORWARD_INTERVAL_S = 0.4
 """Time between two batches towards the registry while reports wait, in seconds."""
 
@@ -118,7 +121,8 @@
             await self._forward()
             group.start_soon(self._report_repeatedly)
             async for _ in self._timers.subscribe(interval_s=FORWARD_INTERVAL_S):
-                if self._pending.count:
+                # Before the host has reported itself, it still needs what others report.
+                if self._pending.count or self._own_host is None:
                     await self._forward()
 
     async def dump(self) -> RegistryClientDump:
@@ -174,11 +178,15 @@
         )
 
     async def _report_repeatedly(self) -> None:
-        async for _ in self._timers.subscribe(interval_s=self._interval_s):
+        while True:
+            is_first = self._own_host is None
+            await self._timers.wait_for(FIRST_CHECK_INTERVAL_S if is_first else self._interval_s)
             await self._report_own()
 
     async def _report_own(self) -> None:
-        record: HostRecord = await ask(self._agent, lambda reply: ReportHost(reply=reply))
+        record: HostRecord | None = await ask(self._agent, lambda reply: ReportHost(reply=reply))
+        if record is None:
+            return
         order = (record.incarnation, record.sequence)
         self._own_host = record.locality.host
         self._pending.add(
--- a/src/samphirespring/process/settings_watch.py
+++ b/src/samphirespring/process/settings_watch.py
@@ -116,7 +116,9 @@
             return
         if seeds == self._seeds:
             return
-        _log.info(LogEvent.SETTINGS_RELOADED, seeds=seeds)
+        if self._seeds:
+            # The first look only learns what the process started with.
+            _log.info(LogEvent.SETTINGS_RELOADED, seeds=seeds)
         self._seeds = seeds
         self._user.use_seeds(seeds)
 
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -43,6 +43,10 @@
 """Counters of attempts that started beside others."""
 
 
+FREE_REFUSALS = frozenset({RefusalCode.SUSPECT, RefusalCode.UNKNOWN_TARGET, RefusalCode.DRAINING})
+"""Refusals by an agent after which another attempt needs no right to repeat."""
+
+
 class Exchange:
     """Serves one request by one version of the document.
 
@@ -265,5 +269,10 @@
 
 
 def _is_free(end: AttemptRefused | AttemptFailed) -> bool:
-    """Return whether another attempt costs backend servers nothing: none was reached."""
-    return isinstance(end, AttemptRefused) and end.code is RefusalCode.SUSPECT
+    """Return whether another attempt costs backend servers nothing: none was reached.
+
+    Refusals for lack of room count all the same: agents that are busy must not be asked more.
+    """
+    if isinstance(end, AttemptFailed):
+        return False
+    return end.code in FREE_REFUSALS and not end.by_target
--- a/src/samphirespring/request/retry.py
+++ b/src/samphirespring/request/retry.py
@@ -14,6 +14,12 @@
 MAX_REFUSED_ATTEMPTS = 10
 """Attempts of one request that were refused or reached nobody, whatever its wait budgets allow."""
 
+IMMEDIATE_ATTEMPTS = 4
+"""Refusals that concern one target after which the next one is asked without a pause."""
+
+START_BACKOFF_BASE_S = 0.040
+"""Longest first pause after these, in seconds: targets announce themselves within some seconds."""
+
 BACKOFF_BASE_S = 0.010
 BACKOFF_LIMIT_S = 1.0
 DEFAULT_RATE_LIMIT_WAIT_S = 1.0
@@ -166,7 +172,11 @@
         if end.retry_after_ms is not None:
             return self._plan_hinted(WaitKind.CAPACITY, end.retry_after_ms / 1_000)
         if end.code in IMMEDIATE_REFUSALS:
+            # Where several targets say so, they may all have just started: it takes a moment.
+            later_count = self._refused_count - IMMEDIATE_ATTEMPTS
             delay_s = 0.0
+            if later_count > 0:
+                delay_s = self._draw_backoff_s(later_count, base_s=START_BACKOFF_BASE_S)
         else:
             delay_s = self._draw_backoff_s(self._refused_count)
         return RetryStep(decision=RetryDecision.RETRY, wait=WaitKind.CAPACITY, delay_s=delay_s)
@@ -178,8 +188,8 @@
         jitter_s = min(room_s, self._generator.random() * HINT_JITTER_SHARE * capped_s)
         return RetryStep(decision=RetryDecision.RETRY, wait=wait, delay_s=capped_s + jitter_s)
 
-    def _draw_backoff_s(self, count: int) -> float:
-        longest_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2.0 ** (count - 1))
+    def _draw_backoff_s(self, count: int, *, base_s: float = BACKOFF_BASE_S) -> float:
+        longest_s = min(BACKOFF_LIMIT_S, base_s * 2.0 ** (count - 1))
         return self._generator.random() * longest_s
 
 
--- a/tests/features/registry.feature
+++ b/tests/features/registry.feature
@@ -16,6 +16,23 @@
     And a removal after number 6 changes nothing
     And a removal after number 7 removes it, and the same record brings it back
 
+  Scenario: A host that comes to another one's address takes its place at once
+    Given a registry that knows host "a" at "10.0.0.1:7" and host "b" at "10.0.0.2:7"
+    When host "c" reports from "10.0.0.1:7" with an earlier clock
+    Then hosts "b, c" are present, and a reader's delta tells that "a" is gone
+    When the registry is restored from a snapshot and host "d" reports from "10.0.0.1:7"
+    Then hosts "b, d" are present, and a reader's delta tells that "c" is gone
+
+  Scenario: A host that starts again keeps its targets until it knows them
+    Given an agent that has just started and a registry that knows its target of before
+    When 1.5 s pass without an announcement
+    Then the registry still has the target
+    When the target announces itself and 1.0 s pass
+    Then the registry has the target with the new incarnation
+    Given an agent that has just started and a registry that knows its target of before
+    When 3.0 s pass without an announcement
+    Then the registry has the host without targets
+
   Scenario: Renewals write nothing to the log
     Given a registry keeper over a log that counts its commands
     When 20 hosts report once in full and then 30 times by renewal
--- a/tests/features/steps/registry_steps.py
+++ b/tests/features/steps/registry_steps.py
@@ -11,8 +11,10 @@
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
 from samphirespring.process.agent import Agent
+from samphirespring.process.agent_messages import Announcement, AnnounceTarget
 from samphirespring.process.control_client import ControlClient
 from samphirespring.process.document.sources import SourceChooser
+from samphirespring.process.mailbox import ask
 from samphirespring.process.metrics import NullMetrics
 from samphirespring.process.registry.commands import ChangeHosts, HostRemoval
 from samphirespring.process.registry.first_table import FirstTableSearch
@@ -23,14 +25,22 @@
 from samphirespring.process.replication.errors import BusyError
 from samphirespring.process.replication.state_machine import LocalProposer, NotLeaderError
 from samphirespring.process.runtime import run_tasks
+from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.target_table import TargetTable
-from samphirespring.process.targets import NO_DELTA, HostRecord, Locality
+from samphirespring.process.targets import (
+    NO_DELTA,
+    HostRecord,
+    Locality,
+    TargetLoad,
+    TargetRecord,
+)
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.selection import NearestOfTwoSelector
 
 LEASE_S = 5.0
 STEP_S = 0.5
 SETTLE_TURNS = 40
+ANNOUNCE = "announce"
 
 
 def make_record(number, *, incarnation=1, sequence=1):
@@ -539,3 +549,157 @@
 @then('"b" has the report, and the next one goes to "b" at once')
 def step_check_calls(context):
     assert context.pool.calls == ["a", "b", "b"], context.pool.calls
+
+
+def make_host_record(host, link_address, incarnation):
+    return HostRecord(
+        locality=Locality(region="r", failure_domain="d", host=host),
+        incarnation=incarnation,
+        link_address=link_address,
+        sequence=1,
+    )
+
+
+def report_host(context, host, link_address, incarnation):
+    context.known_version = context.machine.version
+    context.index = getattr(context, "index", 0) + 1
+    record = make_host_record(host, link_address, incarnation)
+    context.machine.apply(index=context.index, command=ChangeHosts(records=(record,)))
+
+
+@given(
+    'a registry that knows host "{first}" at "{first_address}"'
+    ' and host "{second}" at "{address}"'
+)
+def step_two_hosts(context, first, first_address, second, address):
+    context.machine = RegistryMachine()
+    report_host(context, first, first_address, 50)
+    report_host(context, second, address, 50)
+
+
+@when('host "{host}" reports from "{address}" with an earlier clock')
+def step_take_over(context, host, address):
+    report_host(context, host, address, 40)
+
+
+@when('the registry is restored from a snapshot and host "{host}" reports from "{address}"')
+def step_restore_and_take_over(context, host, address):
+    snapshot = context.machine.capture_snapshot()
+    context.machine = RegistryMachine()
+    context.machine.restore_snapshot(snapshot)
+    report_host(context, host, address, 60)
+
+
+@then('hosts "{present}" are present, and a reader\'s delta tells that "{gone}" is gone')
+def step_check_holders(context, present, gone):
+    hosts = {entry.host for entry in context.machine.list_present()}
+    assert hosts == set(present.split(", ")), hosts
+    assert context.machine.read_delta(context.known_version).gone == (gone,)
+
+
+class RestartedHost:
+    """An agent and a registry client after a restart, with a registry of its own."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        here = Locality(region="r", failure_domain="d", host="h0")
+        self.agent = make_agent(here, self.timers)
+        self.machine = RegistryMachine()
+        load = TargetLoad(
+            phase=TargetPhase.SERVING, condition=TargetCondition.HEALTHY, free_slots=1, slots=1
+        )
+        before = HostRecord(
+            locality=here,
+            incarnation=self.agent.incarnation - 1,
+            link_address="127.0.0.1:1",
+            sequence=9,
+            targets=(TargetRecord(target="t", service="s", load=load),),
+        )
+        self.machine.apply(index=1, command=ChangeHosts(records=(before,)))
+        self.client = RegistryClient(
+            uplink=ApplyingUplink(self.machine),
+            agent=self.agent.inbox,
+            table=make_table(here, self.timers).inbox,
+            timers=self.timers,
+            interval_s=1.0,
+        )
+
+    async def play(self, moves):
+        async with run_tasks((self.agent, self.client)):
+            await settle()
+            for move in moves:
+                if move == ANNOUNCE:
+                    await ask(self.agent.inbox, make_announcement)
+                else:
+                    await self.pass_time(move)
+
+    async def pass_time(self, span_s):
+        for _ in range(round(span_s / 0.1)):
+            self.timers.advance(0.1)
+            await settle()
+
+
+class ApplyingUplink(Uplink):
+    """A registry that takes each record of a batch at once."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.index = 1
+
+    async def send(self, batch):
+        records = tuple(report.record for report in batch.reports if report.record is not None)
+        self.index += 1
+        self.machine.apply(index=self.index, command=ChangeHosts(records=records))
+        return BatchReply(delta=self.machine.read_delta(batch.known_version))
+
+
+def make_announcement(reply):
+    return AnnounceTarget(
+        target="t",
+        announcement=Announcement(
+            service="s", address="127.0.0.1:2", slots=1, phase=TargetPhase.SERVING
+        ),
+        reply=reply,
+    )
+
+
+@given("an agent that has just started and a registry that knows its target of before")
+def step_restarted(context):
+    context.moves = []
+
+
+def play_restarted(context):
+    context.restarted = RestartedHost()
+    anyio.run(context.restarted.play, context.moves)
+    entry = context.restarted.machine.read_entry("h0")
+    return entry.record
+
+
+@when("{span:f} s pass without an announcement")
+def step_pass_unannounced(context, span):
+    context.moves.append(span)
+
+
+@when("the target announces itself and {span:f} s pass")
+def step_announce_and_pass(context, span):
+    context.moves += [ANNOUNCE, span]
+
+
+@then("the registry still has the target")
+def step_check_old_target(context):
+    record = play_restarted(context)
+    assert record.sequence == 9 and len(record.targets) == 1, record
+
+
+@then("the registry has the target with the new incarnation")
+def step_check_new_target(context):
+    record = play_restarted(context)
+    assert record.incarnation == context.restarted.agent.incarnation
+    assert [target.target for target in record.targets] == ["t"]
+
+
+@then("the registry has the host without targets")
+def step_check_no_target(context):
+    record = play_restarted(context)
+    assert record.incarnation == context.restarted.agent.incarnation
+    assert record.targets == ()
