--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -5,12 +5,13 @@
 
 
 class ErrorCode(Enum):
-    """Stable codes; docs/OPERATING.md says what to do about each."""
+    """Stable codes; docs/OPERATIONS.md says what to do about each."""
 
     # Settings and start.
     SETTINGS_INVALID = "settings_invalid"
     ADDRESS_UNAVAILABLE = "address_unavailable"
     INBOX_FULL = "inbox_full"
+    REQUEST_NOT_LOGGED = "request_not_logged"
     INTERNAL = "internal"
 
     # Caller requests.
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -4,7 +4,7 @@
 
 
 class LogEvent(Enum):
-    """Stable names; docs/OPERATING.md says what to do about each."""
+    """Stable names; docs/OPERATIONS.md says what to do about each."""
 
     # Programs.
     NODE_STARTED = "node_started"
--- a/src/samphirespring/process/metric_names.py
+++ b/src/samphirespring/process/metric_names.py
@@ -1,4 +1,4 @@
-"""Names of all metrics; docs/OPERATING.md gives the unit of each and says what to do about it."""
+"""Names of all metrics; docs/OPERATIONS.md gives the unit of each and says what to do about it."""
 
 import re
 from enum import Enum
--- a/src/samphirespring/process/operation/exit_status.py
+++ b/src/samphirespring/process/operation/exit_status.py
@@ -32,6 +32,7 @@
     ErrorCode.SECTION_UNKNOWN: ExitStatus.NOT_FOUND,
     ErrorCode.HOST_UNKNOWN: ExitStatus.NOT_FOUND,
     ErrorCode.TARGET_UNKNOWN: ExitStatus.NOT_FOUND,
+    ErrorCode.REQUEST_NOT_LOGGED: ExitStatus.NOT_FOUND,
     ErrorCode.LINK_UNAVAILABLE: ExitStatus.UNAVAILABLE,
 }
 
--- /dev/null
+++ b/src/samphirespring/process/operation/explanation.py
@@ -0,0 +1,144 @@
+"""What the collected logs say of one request: its attempts, and what the processes believed."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.log_events import LogEvent
+from samphirespring.process.operation.log_files import LogLine, read_log_lines
+
+BELIEF_SPAN = timedelta(seconds=10)
+"""How long before a request a change of belief still counts."""
+
+FRONT_BELIEFS = frozenset(
+    event.value
+    for event in (
+        LogEvent.NODE_STARTED,
+        LogEvent.DOCUMENT_IN_FORCE,
+        LogEvent.REGISTRY_LOST,
+        LogEvent.REGISTRY_REACHABLE,
+        LogEvent.PATH_LOST,
+        LogEvent.PATH_FOUND,
+        LogEvent.REQUEST_LINES_OMITTED,
+    )
+)
+"""Events of the process that took the request, whatever they name."""
+
+ATTEMPT_STEP = "attempt"
+
+
+class RequestNotLoggedError(SamphireError):
+    """No line of the files names the request."""
+
+    code = ErrorCode.REQUEST_NOT_LOGGED
+
+
+class ExplainedStep(msgspec.Struct, frozen=True, kw_only=True):
+    """One step of a request's way, or a change of what a process believed."""
+
+    at: datetime
+    process: str
+    step: str
+    """Name of the event, or `attempt`."""
+
+    details: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Scope:
+    """Which lines have to do with a request.
+
+    Attributes:
+        since: Earliest time.
+        until: Latest time.
+        processes: Processes that took the request.
+        names: Targets and hosts that were tried.
+    """
+
+    since: datetime
+    until: datetime
+    processes: frozenset[str]
+    names: frozenset[str]
+
+    def covers(self, line: LogLine) -> bool:
+        """Return whether a line tells of what the request met.
+
+        Args:
+            line: The line.
+        """
+        if not self.since <= line.at <= self.until or "request" in line.details:
+            return False
+        if line.process in self.processes and line.event in FRONT_BELIEFS:
+            return True
+        named = {line.details.get("target"), line.details.get("host"), line.process}
+        return not named.isdisjoint(self.names)
+
+
+def explain_request(request: str, paths: Sequence[Path]) -> tuple[ExplainedStep, ...]:
+    """Return the way of a request and the changes of belief around it, in order of time.
+
+    Args:
+        request: The id that the caller sent, or was given.
+        paths: Files with the logs of the processes.
+
+    Raises:
+        RequestNotLoggedError: No line names the request.
+        OSError: A file can't be read.
+    """
+    own = [
+        line
+        for line in read_log_lines(paths, containing=request.encode())
+        if line.details.get("request") == request
+    ]
+    if not own:
+        raise RequestNotLoggedError(
+            f"no line names request {request}; {LogEvent.REQUEST_LINES_OMITTED.value} tells where"
+            " lines were left out"
+        )
+    scope = _find_scope(own)
+    steps = [step for line in own for step in _list_steps(line)]
+    steps += [_make_step(line) for line in read_log_lines(paths) if scope.covers(line)]
+    return tuple(sorted(steps, key=lambda step: step.at))
+
+
+def _find_scope(lines: Sequence[LogLine]) -> _Scope:
+    tried = [attempt for line in lines for attempt in _list_attempts(line)]
+    return _Scope(
+        since=min(_find_start(line) for line in lines) - BELIEF_SPAN,
+        until=max(line.at for line in lines),
+        processes=frozenset(line.process for line in lines),
+        names=frozenset(str(attempt[key]) for attempt in tried for key in ("target", "host")),
+    )
+
+
+def _list_steps(line: LogLine) -> list[ExplainedStep]:
+    details = {name: value for name, value in line.details.items() if name != "attempts"}
+    end = ExplainedStep(at=line.at, process=line.process, step=line.event, details=details)
+    start = _find_start(line)
+    attempts = [
+        ExplainedStep(
+            at=start + timedelta(milliseconds=attempt["from_ms"]),
+            process=line.process,
+            step=ATTEMPT_STEP,
+            details=attempt,
+        )
+        for attempt in _list_attempts(line)
+    ]
+    return [*attempts, end]
+
+
+def _make_step(line: LogLine) -> ExplainedStep:
+    return ExplainedStep(at=line.at, process=line.process, step=line.event, details=line.details)
+
+
+def _find_start(line: LogLine) -> datetime:
+    return line.at - timedelta(milliseconds=line.details.get("took_ms") or 0)
+
+
+def _list_attempts(line: LogLine) -> list[dict[str, Any]]:
+    return list(line.details.get("attempts") or ())
--- /dev/null
+++ b/src/samphirespring/process/operation/log_files.py
@@ -0,0 +1,54 @@
+"""Lines of the processes' logs, as collectors keep them in files."""
+
+from collections.abc import Iterator, Sequence
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+
+class LogLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of a process's log.
+
+    Attributes:
+        at: When it was written, by the clock of its host.
+        process: The word before the JSON text, which collectors put there; else the file's name.
+        event: Name of the event.
+        details: The other fields.
+    """
+
+    at: datetime
+    process: str
+    event: str
+    details: dict[str, Any]
+
+
+def read_log_lines(paths: Sequence[Path], *, containing: bytes = b"") -> Iterator[LogLine]:
+    """Yield the lines of some files; what isn't a line of a log is passed over.
+
+    Args:
+        paths: The files.
+        containing: Only lines that contain these bytes.
+
+    Raises:
+        OSError: A file can't be read.
+    """
+    for path in paths:
+        with path.open("rb") as file:
+            for text in file:
+                if containing in text and (line := _parse_line(text, path)) is not None:
+                    yield line
+
+
+def _parse_line(text: bytes, path: Path) -> LogLine | None:
+    prefix, brace, rest = text.partition(b"{")
+    try:
+        fields: dict[str, Any] = msgspec.json.decode(brace + rest, type=dict[str, Any])
+        at = datetime.fromisoformat(fields.pop("timestamp"))
+        event = str(fields.pop("event"))
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        return None
+    fields.pop("level", None)
+    words = prefix.decode(errors="replace").split()
+    return LogLine(at=at, process=words[-1] if words else path.stem, event=event, details=fields)
--- a/src/samphirespring/process/programs/ctl.py
+++ b/src/samphirespring/process/programs/ctl.py
@@ -30,9 +30,11 @@
 from samphirespring.process.operation.dump_reader import read_dump
 from samphirespring.process.operation.dump_tables import make_dump_tables
 from samphirespring.process.operation.exit_status import ExitStatus
+from samphirespring.process.operation.explanation import explain_request
 from samphirespring.process.operation.session import CommandSession, end_usage
 from samphirespring.process.operation.tables import (
     make_document_table,
+    make_explanation_table,
     make_history_table,
     make_host_table,
     make_progress_table,
@@ -274,6 +276,23 @@
         session.show_json(msgspec.json.encode(state))
 
 
+@app.command()
+def explain(
+    context: typer.Context,
+    request: Annotated[str, typer.Argument(help="Id of the request, as the caller sent it.")],
+    logs: Annotated[list[Path], typer.Argument(help="Files with the logs of the processes.")],
+) -> None:
+    """Show what became of a request and why, from collected log files; asks no process."""
+    session: CommandSession = context.obj
+    try:
+        steps = explain_request(request, logs)
+    except OSError as error:
+        end_usage(f"{error.filename}: {error.strerror}")
+    except SamphireError as error:
+        session.fail(error)
+    session.show(steps, make_explanation_table(request, steps))
+
+
 def _send(session: CommandSession, method: str, path: str, body: Any = None) -> bytes:
     try:
         return anyio.run(session.make_client().send, method, path, body)
--- a/tests/document/operating_page.py
+++ b/tests/document/operations_page.py
@@ -1,4 +1,4 @@
-"""What docs/OPERATING.md says of each error code, refusal, log event and metric."""
+"""What docs/OPERATIONS.md says of each error code, refusal, log event and metric."""
 
 import re
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 from samphirespring.request.states import RefusalCode
 
 ROOT = Path(__file__).resolve().parents[2]
-PAGE = ROOT / "docs" / "OPERATING.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 SOURCES = ROOT / "src" / "samphirespring"
 
 ENUMS = {
--- a/tests/features/steps/field_pages_steps.py
+++ b/tests/features/steps/field_pages_steps.py
@@ -1,7 +1,7 @@
 from behave import given, then
 
 from document.field_pages import COMMAND, list_fields, make_pages, read_meanings
-from document.operating_page import PAGE, find_faults, find_untyped_loggers, find_unused_names
+from document.operations_page import PAGE, find_faults, find_untyped_loggers, find_unused_names
 from samphirespring.process import settings
 from samphirespring.version import document
 
@@ -24,7 +24,7 @@
     "the operators' page lists each error code, refusal, log event and metric of the code "
     "and no other"
 )
-def step_check_operating_page(context):
+def step_check_operations_page(context):
     faults = find_faults(PAGE.read_text())
     assert faults == [], "\n".join(faults)
 
