Use one piece of code where the platform's work had written it twice

Behaviour stays. - Settings on the platform are read by load_settings and read_settings; read_host_settings and load_host_settings were the same code again. - Both callers' dialects build the request by read_caller_request. - The pattern for the words in capitals of metric names, and the text of a value in tables, stand once. - The registry's index of link addresses holds present hosts only: it kept an entry for every address ever used, sorted hosts that can't share one, and made a removal command to call itself. - What dumps show of a host is HostDump; HostView is the operators' API. One fetch from an address in the follower, the first election's delay drawn in one place, shorter conditions in the selection and the repeats. - Steps make attempts by make_attempt_message.

--- a/src/samphirespring/connection/caller_dialect.py
+++ b/src/samphirespring/connection/caller_dialect.py
@@ -123,16 +123,12 @@
         """Return a request in the front's terms."""
         headers = select_end_to_end(scope["headers"])
         fleet = FleetSection() if compiled is None else compiled.fleet
-        return CallerRequest(
-            request=request_id,
-            method=scope["method"],
-            host=read_host(headers),
-            path=scope["path"],
-            target=read_target(scope),
+        return read_caller_request(
+            request_id,
+            scope,
+            body,
             headers=headers,
-            body=body,
-            deadline_ms=read_deadline_ms(headers, DEADLINE_HEADER),
-            address=read_address(scope),
+            deadline_header=DEADLINE_HEADER,
             workspace=_read_workspace(headers, fleet),
             key=_read_key(headers),
         )
@@ -164,6 +160,45 @@
         return HttpAnswerHead(status=status, headers=tuple(headers))
 
 
+def read_caller_request(
+    request_id: RequestId,
+    scope: Any,
+    body: bytes,
+    *,
+    headers: tuple[Header, ...],
+    deadline_header: bytes,
+    workspace: WorkspaceId = NO_WORKSPACE,
+    key: IdempotencyKey | None = None,
+) -> CallerRequest:
+    """Return a request in the front's terms.
+
+    Args:
+        request_id: Its id.
+        scope: The ASGI scope.
+        body: The whole body.
+        headers: The headers to pass on.
+        deadline_header: Header that states the time left.
+        workspace: The workspace that the request belongs to.
+        key: What makes a repeated action known.
+
+    Raises:
+        MalformedRequestError: A header can't be read.
+    """
+    return CallerRequest(
+        request=request_id,
+        method=scope["method"],
+        host=read_host(headers),
+        path=scope["path"],
+        target=read_target(scope),
+        headers=headers,
+        body=body,
+        deadline_ms=read_deadline_ms(headers, deadline_header),
+        address=read_address(scope),
+        workspace=workspace,
+        key=key,
+    )
+
+
 def list_problem_headers(
     id_header: bytes, request_id: RequestId, *, body_length: int
 ) -> list[Header]:
--- a/src/samphirespring/platform/caller_dialect.py
+++ b/src/samphirespring/platform/caller_dialect.py
@@ -8,10 +8,7 @@
     CallerDialect,
     HttpAnswerHead,
     list_problem_headers,
-    read_address,
-    read_deadline_ms,
-    read_host,
-    read_target,
+    read_caller_request,
 )
 from samphirespring.connection.http_headers import select_end_to_end
 from samphirespring.platform.headers import CALLER_SERVICE, DEADLINE_MS, REQUEST_ID, SEAL
@@ -21,7 +18,7 @@
 from samphirespring.request.ids import RequestId
 from samphirespring.request.messages import Header
 from samphirespring.request.states import Outcome
-from samphirespring.version.ids import NO_WORKSPACE, ServiceName
+from samphirespring.version.ids import ServiceName
 from samphirespring.version.routes import CompiledDocument
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -53,18 +50,12 @@
         """Return a request in the front's terms."""
         headers = select_end_to_end(scope["headers"])
         passed_on = tuple(header for header in headers if header.name != CALLER_SERVICE)
-        return CallerRequest(
-            request=request_id,
-            method=scope["method"],
-            host=read_host(headers),
-            path=scope["path"],
-            target=read_target(scope),
+        return read_caller_request(
+            request_id,
+            scope,
+            body,
             headers=(*passed_on, Header(CALLER_SERVICE, self._service.encode())),
-            body=body,
-            deadline_ms=read_deadline_ms(headers, DEADLINE_MS),
-            address=read_address(scope),
-            workspace=NO_WORKSPACE,
-            key=None,
+            deadline_header=DEADLINE_MS,
         )
 
     def make_head(
--- a/src/samphirespring/platform/control.py
+++ b/src/samphirespring/platform/control.py
@@ -1,15 +1,15 @@
 """`samphire-control` on the platform."""
 
 from samphirespring.platform.edge import PlatformControlEdge
-from samphirespring.platform.settings import CoreSettings, load_host_settings, watch_settings_file
+from samphirespring.platform.settings import CoreSettings, find_settings_file, watch_settings_file
 from samphirespring.process.logs import configure_logs
 from samphirespring.process.programs.control import Control
-from samphirespring.process.runtime import run_program
+from samphirespring.process.runtime import read_settings, run_program
 
 
 def main() -> None:
     """Run the program."""
-    settings = load_host_settings(CoreSettings)
+    settings = read_settings(find_settings_file(), CoreSettings)
     control_settings = settings.make_control_settings()
     configure_logs(control_settings.log.level)
     edge = PlatformControlEdge(settings)
--- a/src/samphirespring/platform/node.py
+++ b/src/samphirespring/platform/node.py
@@ -3,17 +3,17 @@
 from samphirespring.platform.edge import PlatformNodeEdge
 from samphirespring.platform.settings import (
     SidecarSettings,
-    load_host_settings,
+    find_settings_file,
     watch_settings_file,
 )
 from samphirespring.process.logs import configure_logs
 from samphirespring.process.programs.node import Node
-from samphirespring.process.runtime import run_program
+from samphirespring.process.runtime import read_settings, run_program
 
 
 def main() -> None:
     """Run the program."""
-    settings = load_host_settings(SidecarSettings)
+    settings = read_settings(find_settings_file(), SidecarSettings)
     node_settings = settings.make_node_settings()
     configure_logs(node_settings.log.level)
     node = Node(node_settings, PlatformNodeEdge(settings), file=watch_settings_file())
--- a/src/samphirespring/platform/settings.py
+++ b/src/samphirespring/platform/settings.py
@@ -2,7 +2,6 @@
 
 import os
 from pathlib import Path
-from typing import TypeVar
 
 import msgspec
 
@@ -15,8 +14,7 @@
     DiscoverySettings,
     LocalitySettings,
     NodeSettings,
-    SettingsInvalidError,
-    exit_on_invalid_settings,
+    load_settings,
 )
 from samphirespring.process.settings_watch import SeedReader, WatchedFile
 from samphirespring.version.ids import ServiceName
@@ -36,8 +34,6 @@
 DOCUMENT_WAIT_S = 10.0
 REPORT_INTERVAL_S = 1.0
 
-SettingsT = TypeVar("SettingsT", bound="HostSettings")
-
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
     """What every process is told; fields that are added later are ignored."""
@@ -159,7 +155,7 @@
 
     def read_seeds(self, path: Path) -> tuple[str, ...]:
         """Return the link addresses of the control hosts that the file names."""
-        return read_host_settings(path, HostSettings).seed_links
+        return load_settings(path, HostSettings).seed_links
 
 
 def watch_settings_file() -> WatchedFile:
@@ -170,33 +166,3 @@
 def find_settings_file() -> Path:
     """Return the path of the settings file, which the environment names."""
     return Path(os.environ.get(SETTINGS_VARIABLE, ""))
-
-
-def read_host_settings(path: Path, settings_type: type[SettingsT]) -> SettingsT:
-    """Return the settings of a process.
-
-    Args:
-        path: The rendered settings file.
-        settings_type: Their type.
-
-    Raises:
-        SettingsInvalidError: The file can't be read, or a field is invalid.
-    """
-    try:
-        return msgspec.json.decode(path.read_bytes(), type=settings_type)
-    except OSError as error:
-        raise SettingsInvalidError(f"{path}: {error.strerror}") from None
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise SettingsInvalidError(f"{path}: {error}") from None
-
-
-def load_host_settings(settings_type: type[SettingsT]) -> SettingsT:
-    """Return the settings of this process, or end the program with the status for invalid ones.
-
-    Args:
-        settings_type: Their type.
-    """
-    try:
-        return read_host_settings(find_settings_file(), settings_type)
-    except SettingsInvalidError as error:
-        exit_on_invalid_settings(error)
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -191,12 +191,15 @@
     async def _fetch_hinted(self, hint: VersionHint, control: ControlClient) -> DocumentDelta:
         if hint.address:
             try:
-                with self._links.use(hint.address) as link:
-                    return await link.call(FETCH_DELTA, self._ask(), timeout_s=HINT_FETCH_TIMEOUT_S)
+                return await self._fetch_from(hint.address, timeout_s=HINT_FETCH_TIMEOUT_S)
             except SamphireError as error:
                 self._note_failure(hint.address, error)
         return await control.call(FETCH_DELTA, self._ask())
 
+    async def _fetch_from(self, address: str, *, timeout_s: float) -> DocumentDelta:
+        with self._links.use(address) as link:
+            return await link.call(FETCH_DELTA, self._ask(), timeout_s=timeout_s)
+
     def _ask(self) -> FetchDelta:
         return FetchDelta(known=self._sections.stamp)
 
@@ -237,9 +240,7 @@
 
     async def _fetch(self, address: str) -> None:
         try:
-            with self._links.use(address) as link:
-                delta = await link.call(FETCH_DELTA, self._ask(), timeout_s=FETCH_TIMEOUT_S)
-            await self._use_delta(delta)
+            await self._use_delta(await self._fetch_from(address, timeout_s=FETCH_TIMEOUT_S))
         except SamphireError as error:
             self._note_failure(address, error)
 
--- a/src/samphirespring/process/host_view.py
+++ b/src/samphirespring/process/host_dump.py
@@ -13,7 +13,7 @@
 from samphirespring.version.ids import ServiceName
 
 
-class LocalityView(msgspec.Struct, frozen=True, kw_only=True):
+class LocalityDump(msgspec.Struct, frozen=True, kw_only=True):
     """Where a host stands."""
 
     region: RegionName
@@ -21,7 +21,7 @@
     host: HostId
 
 
-class TargetView(msgspec.Struct, frozen=True, kw_only=True):
+class HostTargetDump(msgspec.Struct, frozen=True, kw_only=True):
     """One target of a host."""
 
     target: TargetId
@@ -29,32 +29,32 @@
     load: TargetLoad
 
 
-class HostView(msgspec.Struct, frozen=True, kw_only=True):
+class HostDump(msgspec.Struct, frozen=True, kw_only=True):
     """One host."""
 
-    locality: LocalityView
+    locality: LocalityDump
     incarnation: Incarnation
     link_address: str
     sequence: int
-    targets: tuple[TargetView, ...]
+    targets: tuple[HostTargetDump, ...]
 
 
-def view_host(record: HostRecord) -> HostView:
+def dump_host(record: HostRecord) -> HostDump:
     """Return a host's record with the names of its parts.
 
     Args:
         record: The record.
     """
     where = record.locality
-    return HostView(
-        locality=LocalityView(
+    return HostDump(
+        locality=LocalityDump(
             region=where.region, failure_domain=where.failure_domain, host=where.host
         ),
         incarnation=record.incarnation,
         link_address=record.link_address,
         sequence=record.sequence,
         targets=tuple(
-            TargetView(target=target.target, service=target.service, load=target.load)
+            HostTargetDump(target=target.target, service=target.service, load=target.load)
             for target in record.targets
         ),
     )
--- a/src/samphirespring/process/metric_names.py
+++ b/src/samphirespring/process/metric_names.py
@@ -9,7 +9,8 @@
 NAME_CACHE_SIZE = 4_096
 """Full names that are kept; a request uses some six."""
 
-_PART = re.compile(r"\b[A-Z]+\b")
+NAME_PART = re.compile(r"\b[A-Z]+\b")
+"""A word of a name that stands for a part."""
 
 
 class Counter(Enum):
@@ -107,7 +108,7 @@
     pattern: str = name.value
     left = iter(parts)
     try:
-        full = _PART.sub(lambda _: next(left), pattern)
+        full = NAME_PART.sub(lambda _: next(left), pattern)
     except StopIteration:
         raise InternalError(f"{pattern} needs more parts than {parts}") from None
     if next(left, None) is not None:
--- a/src/samphirespring/process/operation/dump_tables.py
+++ b/src/samphirespring/process/operation/dump_tables.py
@@ -48,7 +48,13 @@
 
 
 def _show(value: Any) -> str:
-    if value is None:
-        return "-"
-    text = value if isinstance(value, str) else msgspec.json.encode(value).decode()
-    return escape(text)
+    return "-" if value is None else escape(show_text(value))
+
+
+def show_text(value: object) -> str:
+    """Return a text as it is, and any other value as JSON.
+
+    Args:
+        value: The value.
+    """
+    return value if isinstance(value, str) else msgspec.json.encode(value).decode()
--- a/src/samphirespring/process/operation/tables.py
+++ b/src/samphirespring/process/operation/tables.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-import msgspec
 from rich.markup import escape
 from rich.table import Table
 
@@ -14,6 +13,7 @@
     StatusView,
 )
 from samphirespring.process.document.in_force import DomainProgress
+from samphirespring.process.operation.dump_tables import show_text
 from samphirespring.process.operation.explanation import ExplainedStep
 
 DIGEST_CHARACTERS = 12
@@ -108,16 +108,12 @@
     """
     table = Table("at", "process", "step", "details", title=f"request {escape(request)}")
     for step in steps:
-        details = ", ".join(f"{name} {_show(value)}" for name, value in step.details.items())
+        details = ", ".join(f"{name} {show_text(value)}" for name, value in step.details.items())
         at = step.at.time().isoformat(timespec="milliseconds")
         table.add_row(at, step.process, step.step, escape(details))
     return table
 
 
-def _show(value: object) -> str:
-    return value if isinstance(value, str) else msgspec.json.encode(value).decode()
-
-
 def _count(domain: DomainProgress) -> tuple[str, str, str]:
     return str(domain.in_force), str(domain.behind), str(domain.hosts)
 
--- a/src/samphirespring/process/registry/machine.py
+++ b/src/samphirespring/process/registry/machine.py
@@ -2,6 +2,8 @@
 
 from typing import ClassVar
 
+import msgspec
+
 from samphirespring.process.ids import HostId, LogIndex, RegistryVersion
 from samphirespring.process.registry.commands import (
     ChangeHosts,
@@ -29,7 +31,7 @@
     def __init__(self, *, removal_capacity: int = REMOVAL_CAPACITY) -> None:
         self._hosts = VersionedHosts(removal_capacity=removal_capacity)
         self._holders: dict[str, HostId] = {}
-        """The host that had each link address last."""
+        """The present host that has each link address."""
 
     @property
     def version(self) -> RegistryVersion:
@@ -53,9 +55,10 @@
     def restore_snapshot(self, snapshot: RegistrySnapshot) -> None:
         """Replace the whole registry."""
         self._hosts.restore_snapshot(snapshot)
-        entries = sorted(self._hosts.list_present(), key=lambda entry: entry.incarnation)
         self._holders = {
-            entry.record.link_address: entry.host for entry in entries if entry.record is not None
+            entry.record.link_address: entry.host
+            for entry in self._hosts.list_present()
+            if entry.record is not None
         }
 
     def read_entry(self, host: HostId) -> HostEntry | None:
@@ -92,13 +95,13 @@
         known = self._hosts.read_entry(host)
         if known is not None and _is_older(record, known):
             return []
-        other = self._find_other_holder(record)
+        if known is not None:
+            self._release_address(known)
         changed = [host]
+        holder = self._holders.get(record.link_address)
+        other = None if holder is None else self._hosts.read_entry(holder)
         if other is not None:
-            removal = HostRemoval(
-                host=other.host, incarnation=other.incarnation, sequence=other.sequence
-            )
-            self._remove(removal, version)
+            self._take_out(other, version)
             changed.append(other.host)
         self._holders[record.link_address] = host
         self._hosts.replace(
@@ -112,33 +115,24 @@
         )
         return changed
 
-    def _find_other_holder(self, record: HostRecord) -> HostEntry | None:
-        """Return another host that is present with the link address of a record."""
-        holder = self._holders.get(record.link_address)
-        if holder is None or holder == record.locality.host:
-            return None
-        entry = self._hosts.read_entry(holder)
-        if entry is None or entry.record is None:
-            return None
-        return entry if entry.record.link_address == record.link_address else None
-
     def _remove(self, removal: HostRemoval, version: RegistryVersion) -> bool:
         known = self._hosts.read_entry(removal.host)
         if known is None or known.record is None:
             return False
         if (known.incarnation, known.sequence) > (removal.incarnation, removal.sequence):
             return False
-        self._hosts.replace(
-            HostEntry(
-                host=removal.host,
-                version=version,
-                incarnation=known.incarnation,
-                sequence=known.sequence,
-                record=None,
-            )
-        )
+        self._take_out(known, version)
         return True
 
+    def _take_out(self, entry: HostEntry, version: RegistryVersion) -> None:
+        """Remove a host that is present."""
+        self._release_address(entry)
+        self._hosts.replace(msgspec.structs.replace(entry, version=version, record=None))
+
+    def _release_address(self, entry: HostEntry) -> None:
+        if entry.record is not None:
+            del self._holders[entry.record.link_address]
+
 
 def _is_older(record: HostRecord, known: HostEntry) -> bool:
     order = (record.incarnation, record.sequence)
--- a/src/samphirespring/process/replication/replica_state.py
+++ b/src/samphirespring/process/replication/replica_state.py
@@ -62,7 +62,7 @@
         self.promised_until_s = now_s if is_new else now_s + timing.restart_promise_s
         """Until when no other leader gets a vote, in seconds."""
 
-        self.election_due_s = now_s + timing.draw_first_election_delay_s(random)
+        self.reset_election(now_s)
         self.receiver = SnapshotReceiver()
         """Parts of a snapshot from the leader of the current term."""
 
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -10,7 +10,7 @@
 from samphirespring.process.detection.models import make_fault_model
 from samphirespring.process.document.relay_tree import Peer
 from samphirespring.process.event_log import EventLog
-from samphirespring.process.host_view import HostView, view_host
+from samphirespring.process.host_dump import HostDump, dump_host
 from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion, TargetId
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask
@@ -155,7 +155,7 @@
     """State of the target table."""
 
     registry_version: RegistryVersion
-    hosts: tuple[HostView, ...]
+    hosts: tuple[HostDump, ...]
     advice: TargetAdviceDump
     held: tuple[EntryKey, ...]
     """Hosts that the registry's latest whole table lacks and that are kept for a while."""
@@ -254,9 +254,9 @@
         except ListUnknownError as error:
             message.reply.fail(error)
 
-    def _list_hosts(self) -> PartedList[HostView]:
+    def _list_hosts(self) -> PartedList[HostDump]:
         keys = [EntryKey(host) for host in self._hosts]
-        return list_whole(DumpList.HOSTS, keys, lambda key: view_host(self._hosts[HostId(key)]))
+        return list_whole(DumpList.HOSTS, keys, lambda key: dump_host(self._hosts[HostId(key)]))
 
     def _list_held(self) -> PartedList[EntryKey]:
         return list_keys(DumpList.HELD, [EntryKey(host) for host in self._held.hosts])
--- a/src/samphirespring/process/text_exporter.py
+++ b/src/samphirespring/process/text_exporter.py
@@ -1,6 +1,5 @@
 """Metrics since the start of the process, as text that collectors fetch."""
 
-import re
 from collections.abc import Sequence
 
 import prometheus_client
@@ -13,15 +12,19 @@
     RecordDuration,
     SetGauge,
 )
-from samphirespring.process.metric_names import Counter, Gauge, MetricName, Timing
+from samphirespring.process.metric_names import (
+    NAME_PART,
+    Counter,
+    Gauge,
+    MetricName,
+    Timing,
+)
 
 PREFIX = "samphire_"
 
 DURATION_BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 """Upper bounds of the histograms' buckets, in seconds."""
 
-_PART = re.compile(r"\b[A-Z]+\b")
-
 
 class TextExporter(MetricExporter):
     """Sums up all metrics; words in capitals of their names become labels."""
@@ -76,7 +79,7 @@
     Args:
         name: The metric.
     """
-    words = [word for word in name.value.split(".") if not _PART.fullmatch(word)]
+    words = [word for word in name.value.split(".") if not NAME_PART.fullmatch(word)]
     unit = "_seconds" if isinstance(name, Timing) else ""
     return PREFIX + "_".join(words) + unit
 
@@ -87,4 +90,4 @@
     Args:
         name: The metric.
     """
-    return tuple(word.lower() for word in _PART.findall(name.value))
+    return tuple(word.lower() for word in NAME_PART.findall(name.value))
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -273,6 +273,4 @@
 
     Refusals for lack of room count all the same: agents that are busy must not be asked more.
     """
-    if isinstance(end, AttemptFailed):
-        return False
-    return end.code in FREE_REFUSALS and not end.by_target
+    return isinstance(end, AttemptRefused) and end.code in FREE_REFUSALS and not end.by_target
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -121,10 +121,9 @@
         tiers: Usable targets of the service by distance, nearest first.
         within: Largest distance.
     """
-    near = tuple(Distance)[: tuple(Distance).index(within) + 1]
     return [
         choice
-        for _, tier in zip(near, tiers, strict=False)
+        for tier in tiers[: within + 1]
         for choice in tier
         if choice.free_slots >= 1.0 and _read_risk(choice) < VISIT_RISK
     ]
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from document.asgi import call_app
+from front.fakes import make_attempt_message
 from samphirespring.platform.announcements import AnnouncementApp
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
@@ -24,9 +25,8 @@
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.caller import AnswerFacts
 from samphirespring.request.errors import DeadlineExpiredError, RefusedError
-from samphirespring.request.messages import AnswerHead, AttemptRequest, Header
+from samphirespring.request.messages import AnswerHead, Header
 from samphirespring.request.states import Outcome
-from samphirespring.version.document import AnswerCheck
 from samphirespring.version.states import PriorityClass
 
 DEPLOY = Path(__file__).resolve().parents[3] / "deploy"
@@ -323,20 +323,17 @@
 
 
 def make_attempt(headers=()):
-    return AttemptRequest(
+    return make_attempt_message(
         request="r-1",
         attempt="a-1",
         target="i-1",
         service="orders",
-        document_version=1,
         method=b"GET",
         path=b"/read/1?x=%2F",
         headers=headers,
-        body=b"",
         remaining_ms=1234,
-        priority=PriorityClass.INTERACTIVE,
+        priority=PriorityClass.INTERACTIVE.value,
         idempotent=True,
-        answer=AnswerCheck(),
     )
 
 
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -11,6 +11,7 @@
 import msgspec
 from behave import given, then, when
 
+from front.fakes import make_attempt_message
 from samphirespring.platform.settings import HostSeedReader
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.states import ObservedOutcome
@@ -25,11 +26,10 @@
 from samphirespring.process.suspicion import Suspicion
 from samphirespring.process.targets import Locality, TargetLoad
 from samphirespring.process.timers import ManualTimerService
-from samphirespring.request.messages import AttemptRequest
 from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.selection import Candidate, Choice, Distance
 from samphirespring.request.split import SplitSequence
-from samphirespring.version.document import AnswerCheck, RoutePolicy, ServicePolicy
+from samphirespring.version.document import RoutePolicy, ServicePolicy
 from samphirespring.version.routes import Route, RoutePart
 from samphirespring.version.states import PriorityClass
 
@@ -74,20 +74,12 @@
 
 
 def make_request(*, idempotent, max_risk, may_try=False):
-    return AttemptRequest(
-        request="r",
+    return make_attempt_message(
         attempt="a",
-        target="t",
-        service="s",
-        document_version=1,
         method=b"GET",
-        path=b"/",
-        headers=(),
-        body=b"",
         remaining_ms=1000,
-        priority=PriorityClass.INTERACTIVE,
+        priority=PriorityClass.INTERACTIVE.value,
         idempotent=idempotent,
-        answer=AnswerCheck(),
         max_risk=max_risk,
         may_try=may_try,
     )
