Reject odd entries among the targets one by one, at the edge and at each reader

Cause: announcements were checked for their types only. Starts of 2^70, sequences of 2^64, ports 0 and 99999 and names of 9,000 letters passed the edge; a body with 8,000 nested arrays, or a duration of 400 digits, raised RecursionError or OverflowError where only decoding errors were expected; connecting to port 99999 raises OverflowError in the task that runs attempts, which ends the process. Change: one module of bounded types (process/bounds.py) for names, addresses, times, sequences and durations, used by both announcement edges and the settings; all decoders of outside bytes catch the same errors (DECODE_ERRORS); the registry and each target table check records one by one, skip and log the invalid ones (host_records_skipped) and use the others.

--- a/src/samphirespring/connection/http_json.py
+++ b/src/samphirespring/connection/http_json.py
@@ -12,7 +12,7 @@
     encode_problem,
     make_problem,
 )
-from samphirespring.process.errors import ErrorCode, InternalError, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, InternalError, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.log_events import LogEvent
 
@@ -88,10 +88,27 @@
         JsonBodyInvalidError: The body isn't of the type.
     """
     body = await read_body(request.stream(), limit_bytes=limit_bytes)
+    return decode_json(body, body_type, error_type=JsonBodyInvalidError)
+
+
+def decode_json(
+    text: bytes, body_type: type[BodyT], *, error_type: Callable[[str], SamphireError]
+) -> BodyT:
+    """Return the value of a JSON text from outside.
+
+    Args:
+        text: The JSON text.
+        body_type: Type of the value.
+        error_type: Error to raise, called with a description.
+
+    Raises:
+        SamphireError: The text isn't JSON, is nested too deeply, or a field is missing or has an
+            invalid type or value.
+    """
     try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise JsonBodyInvalidError(str(error)) from None
+        return msgspec.json.decode(text, type=body_type)
+    except DECODE_ERRORS as error:
+        raise error_type(str(error)) from None
 
 
 async def read_body(stream: AsyncIterator[bytes], *, limit_bytes: int) -> bytes:
--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -9,7 +9,6 @@
 import anyio
 import grpclib.client
 import h2.exceptions
-import msgspec
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
@@ -27,7 +26,7 @@
     UnaryMethod,
     UploadMethod,
 )
-from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
 from samphirespring.process.metrics import Metrics
 
 OPEN_TIMEOUT_S = 0.5
@@ -266,7 +265,7 @@
         raise LinkUnavailableError(f"{address}: {error}", sent=True) from None
     except (ProtocolError, StreamTerminatedError, h2.exceptions.ProtocolError) as error:
         raise LinkUnavailableError(f"{address}: {error}", sent=True) from None
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise LinkMessageInvalidError(f"{address}: {error}") from None
     except GRPCError as error:
         raise _read_remote_error(error) from None
--- a/src/samphirespring/connection/link_server.py
+++ b/src/samphirespring/connection/link_server.py
@@ -7,7 +7,6 @@
 from typing import Any, ClassVar, Generic
 
 import grpclib.server
-import msgspec
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
 
@@ -21,7 +20,7 @@
     UploadMethod,
 )
 from samphirespring.connection.listener import open_listener
-from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.metrics import Metrics
@@ -180,7 +179,7 @@
 async def _receive_message(stream: "grpclib.server.Stream[Any, Any]") -> Any:
     try:
         return await stream.recv_message()
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         _log.warning(LogEvent.LINK_MESSAGE_INVALID, detail=str(error))
         raise GRPCError(
             Status.INVALID_ARGUMENT, f"{ErrorCode.LINK_MESSAGE_INVALID.value}:{error}"
--- a/src/samphirespring/connection/local_http.py
+++ b/src/samphirespring/connection/local_http.py
@@ -10,7 +10,12 @@
 
 from samphirespring.connection.bearer import read_token
 from samphirespring.connection.dump_pages import read_page_request
-from samphirespring.connection.http_json import convert_errors, read_body, respond_json
+from samphirespring.connection.http_json import (
+    convert_errors,
+    decode_json,
+    read_body,
+    respond_json,
+)
 from samphirespring.process.agent_messages import (
     AgentDump,
     AgentMessage,
@@ -20,6 +25,7 @@
     ReadAgentDump,
     WithdrawTarget,
 )
+from samphirespring.process.bounds import check_name
 from samphirespring.process.dump import collect_dump, read_dump_page
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.front import Front
@@ -45,6 +51,23 @@
     code = ErrorCode.TARGET_UNKNOWN
 
 
+def read_target_id(request: Request) -> TargetId:
+    """Return the id of the target that a request names in its path.
+
+    Args:
+        request: The request; its path has the parameter `target`.
+
+    Raises:
+        AnnouncementInvalidError: The id is too long or has other than visible ASCII characters.
+    """
+    target = request.path_params["target"]
+    try:
+        check_name(target)
+    except msgspec.ValidationError as error:
+        raise AnnouncementInvalidError(f"invalid target id: {error}") from None
+    return TargetId(target)
+
+
 class Readiness(msgspec.Struct, frozen=True, kw_only=True):
     """State of a node that needs no credential to read."""
 
@@ -84,12 +107,9 @@
         )
 
     async def _announce(self, request: Request) -> Response:
-        target = TargetId(request.path_params["target"])
+        target = read_target_id(request)
         body = await read_body(request.stream(), limit_bytes=ANNOUNCEMENT_BYTES)
-        try:
-            announcement = msgspec.json.decode(body, type=Announcement)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise AnnouncementInvalidError(str(error)) from None
+        announcement = decode_json(body, Announcement, error_type=AnnouncementInvalidError)
         receipt: AnnouncementReceipt = await ask(
             self._agent,
             lambda reply: AnnounceTarget(target=target, announcement=announcement, reply=reply),
@@ -97,7 +117,7 @@
         return respond_json(receipt)
 
     async def _withdraw(self, request: Request) -> Response:
-        target = TargetId(request.path_params["target"])
+        target = read_target_id(request)
         was_announced: bool = await ask(
             self._agent, lambda reply: WithdrawTarget(target=target, reply=reply)
         )
--- a/src/samphirespring/connection/operator_client.py
+++ b/src/samphirespring/connection/operator_client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from samphirespring.connection.operator_problems import OperatorProblem
-from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
 from samphirespring.process.timers import TimerService
 
 BodyT = TypeVar("BodyT")
@@ -168,7 +168,7 @@
     try:
         problem = msgspec.json.decode(response.content, type=OperatorProblem)
         code = ErrorCode(problem.code)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+    except DECODE_ERRORS:
         raise NoControlHostError(
             f"{address}: status {response.status} without a known code"
         ) from None
--- a/src/samphirespring/connection/refusals.py
+++ b/src/samphirespring/connection/refusals.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from samphirespring.connection.http_headers import find_header
+from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.request.messages import ResponseHead
 from samphirespring.request.states import RefusalCode
 
@@ -85,7 +86,7 @@
             return None
         try:
             body = msgspec.json.decode(self._body, type=_Body)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return None
         code = _find_code(head.status, body)
         if code is None:
--- a/src/samphirespring/platform/announcements.py
+++ b/src/samphirespring/platform/announcements.py
@@ -8,8 +8,13 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from samphirespring.connection.http_json import convert_errors, read_body, respond_json
-from samphirespring.connection.local_http import AnnouncementInvalidError
+from samphirespring.connection.http_json import (
+    convert_errors,
+    decode_json,
+    read_body,
+    respond_json,
+)
+from samphirespring.connection.local_http import AnnouncementInvalidError, read_target_id
 from samphirespring.platform.units import parse_seconds
 from samphirespring.process.agent_messages import (
     AgentMessage,
@@ -18,7 +23,14 @@
     AnnounceTarget,
     WithdrawTarget,
 )
-from samphirespring.process.ids import TargetId
+from samphirespring.process.bounds import (
+    BOUNDED_NAME,
+    UNKNOWN_START,
+    BoundedSequence,
+    BoundedWallMs,
+    SlotCount,
+    WallMs,
+)
 from samphirespring.process.mailbox import Mailbox, ask
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.states import TargetPhase
@@ -31,13 +43,13 @@
 
 
 class _Info(msgspec.Struct, frozen=True, kw_only=True):
-    service: Annotated[str, msgspec.Meta(min_length=1)]
-    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    service: Annotated[ServiceName, BOUNDED_NAME]
+    slots: SlotCount
 
 
 class _Status(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
     state: str
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: BoundedSequence
     cold_remaining: str = "0ms"
 
 
@@ -45,11 +57,11 @@
     address: str
     info: _Info
     status: _Status
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: BoundedWallMs = UNKNOWN_START
 
 
 class _Deregistration(msgspec.Struct, frozen=True, kw_only=True):
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: BoundedWallMs = UNKNOWN_START
 
 
 class _Acknowledgement(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,7 +97,7 @@
         )
 
     async def _announce(self, request: Request) -> Response:
-        target = TargetId(request.path_params["target"])
+        target = read_target_id(request)
         body = await read_body(request.stream(), limit_bytes=MAX_HEARTBEAT_BYTES)
         announcement = parse_heartbeat(body)
         if announcement.address != self._target_address:
@@ -97,7 +109,7 @@
         return respond_json(_Acknowledgement())
 
     async def _withdraw(self, request: Request) -> Response:
-        target = TargetId(request.path_params["target"])
+        target = read_target_id(request)
         body = await read_body(request.stream(), limit_bytes=MAX_HEARTBEAT_BYTES)
         started_ms = parse_started_ms(body)
         _: bool = await ask(
@@ -120,10 +132,10 @@
         AnnouncementInvalidError: The text isn't valid JSON, or a field is missing or has an
             invalid type or value.
     """
+    heartbeat = decode_json(body, _Heartbeat, error_type=AnnouncementInvalidError)
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
         return Announcement(
-            service=ServiceName(heartbeat.info.service),
+            service=heartbeat.info.service,
             address=heartbeat.address,
             phase=PHASE_BY_STATE[heartbeat.status.state],
             slots=heartbeat.info.slots,
@@ -131,13 +143,13 @@
             sequence=heartbeat.status.sequence,
             cold_s=parse_seconds(heartbeat.status.cold_remaining),
         )
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+    except ValueError as error:
         raise AnnouncementInvalidError(str(error)) from None
     except KeyError as error:
         raise AnnouncementInvalidError(f"unknown state {error}") from None
 
 
-def parse_started_ms(body: bytes) -> int:
+def parse_started_ms(body: bytes) -> WallMs:
     """Return when the deregistered target started, in milliseconds of wall time; 0 if not stated.
 
     Args:
@@ -147,8 +159,5 @@
         AnnouncementInvalidError: The text isn't valid JSON, or a field is invalid.
     """
     if not body:
-        return 0
-    try:
-        return msgspec.json.decode(body, type=_Deregistration).born
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise AnnouncementInvalidError(str(error)) from None
+        return UNKNOWN_START
+    return decode_json(body, _Deregistration, error_type=AnnouncementInvalidError).born
--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from samphirespring.platform.units import parse_ms
+from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.version.document import (
     FLEET_SECTION,
     CallerConnectionPolicy,
@@ -120,7 +121,7 @@
             revision=Revision(configuration.version),
             sections=_make_sections(configuration, defaults),
         )
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentInvalidError((str(error),)) from None
 
 
--- a/src/samphirespring/platform/units.py
+++ b/src/samphirespring/platform/units.py
@@ -2,8 +2,11 @@
 
 import re
 
-DURATION_PATTERN = re.compile(r"^([0-9]+(?:\.[0-9]+)?)(ms|s)$")
+from samphirespring.process.bounds import MAX_DURATION_S
+
+DURATION_PATTERN = re.compile(r"^([0-9]{1,12}(?:\.[0-9]{1,12})?)(ms|s)$")
 MS_PER_UNIT = {"ms": 1.0, "s": 1_000.0}
+MAX_MS = round(MAX_DURATION_S * 1_000)
 
 
 def parse_ms(text: str) -> int:
@@ -13,12 +16,15 @@
         text: A number with the unit `ms` or `s`.
 
     Raises:
-        ValueError: The text isn't a duration.
+        ValueError: The text isn't a duration, or is longer than a day.
     """
     match = DURATION_PATTERN.match(text)
     if match is None:
         raise ValueError(f"`{text}` isn't a duration in `ms` or `s`")
-    return round(float(match[1]) * MS_PER_UNIT[match[2]])
+    duration_ms = round(float(match[1]) * MS_PER_UNIT[match[2]])
+    if duration_ms > MAX_MS:
+        raise ValueError(f"`{text}` is longer than a day")
+    return duration_ms
 
 
 def parse_seconds(text: str) -> float:
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent_messages.py
@@ -7,6 +7,18 @@
 import msgspec
 
 from samphirespring.process.admission_queue import Admission
+from samphirespring.process.bounds import (
+    BOUNDED_NAME,
+    UNKNOWN_START,
+    AnnouncementSequence,
+    BoundedSequence,
+    BoundedWallMs,
+    DurationS,
+    IpPort,
+    SlotCount,
+    WallMs,
+    check_address,
+)
 from samphirespring.process.detection.observations import Stall
 from samphirespring.process.detection.probe_schedule import ProbePlan
 from samphirespring.process.detection.states import ObservedOutcome
@@ -28,26 +40,30 @@
 class Announcement(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Announcement of one target by its backend server."""
 
-    service: ServiceName
-    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+    service: Annotated[ServiceName, BOUNDED_NAME]
+    address: IpPort
     """`IP:port` where the backend server listens for requests."""
 
     phase: TargetPhase = TargetPhase.SERVING
-    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)] | None = None
+    slots: SlotCount | None = None
     """Limit of concurrent requests of the target; None applies the service's policy."""
 
-    started_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
+    started_ms: BoundedWallMs = UNKNOWN_START
     """Start of the backend server, in milliseconds of wall time; a later start takes precedence."""
 
-    sequence: Annotated[int, msgspec.Meta(ge=0)] = 0
+    sequence: BoundedSequence = AnnouncementSequence(0)
     """Number of the announcement since that start; one lower than the latest is ignored."""
 
-    cold_s: Annotated[float, msgspec.Meta(ge=0.0)] | None = None
+    cold_s: DurationS | None = None
     """Duration of the slow start, in seconds; None if the backend server doesn't state it."""
 
     health_path: Annotated[str, msgspec.Meta(pattern=HEALTH_PATH, max_length=1_000)] | None = None
     """Path of the target's health endpoint; None disables probes of the target."""
 
+    def __post_init__(self) -> None:
+        """Check the address."""
+        check_address(self.address)
+
 
 class AnnouncementReceipt(msgspec.Struct, frozen=True, kw_only=True):
     """Reply to an announcement."""
@@ -72,7 +88,7 @@
     """Removes a target; requests in flight continue."""
 
     target: TargetId
-    started_ms: int = 0
+    started_ms: WallMs = UNKNOWN_START
     """Start of the backend server that withdraws, in milliseconds of wall time; 0 for any."""
 
     reply: ReplySlot[bool]
--- a/src/samphirespring/process/detection/classification.py
+++ b/src/samphirespring/process/detection/classification.py
@@ -4,6 +4,7 @@
 
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.states import ObservedOutcome
+from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.request.messages import AttemptFailed, ResponseHead
 from samphirespring.request.states import FailureKind
 from samphirespring.version.document import ResponseCheck
@@ -107,7 +108,7 @@
     def _has_members(self) -> bool:
         try:
             members = _MEMBERS_DECODER.decode(self._body)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return False
         return all(name in members for name in self._check.required_members)
 
--- a/src/samphirespring/process/document/compiler.py
+++ b/src/samphirespring/process/document/compiler.py
@@ -1,8 +1,7 @@
 """Compiles versions of the document without delaying requests."""
 
-import msgspec
-
 from samphirespring.process.document.steps import run_steps
+from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.version.compilation import Compiler
 from samphirespring.version.routes import CompiledDocument
 from samphirespring.version.section_set import DeltaInvalidError, SectionSet
@@ -25,6 +24,6 @@
         """
         try:
             return await run_steps(self._compiler.compile_steps(sections))
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (*DECODE_ERRORS, KeyError) as error:
             self._compiler = Compiler()
             raise DeltaInvalidError(f"version {sections.stamp.version}: {error}") from None
--- a/src/samphirespring/process/document/file.py
+++ b/src/samphirespring/process/document/file.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
 from samphirespring.version.section_set import DeltaInvalidError, DocumentDelta, SectionSet
 from samphirespring.version.stamp import NO_STAMP
 
@@ -45,7 +45,7 @@
             raise DocumentFileInvalidError(f"{self._path}: {error.strerror}") from None
         try:
             return _decode(data)
-        except (msgspec.MsgspecError, DeltaInvalidError) as error:
+        except (*DECODE_ERRORS, DeltaInvalidError) as error:
             raise DocumentFileInvalidError(f"{self._path}: {error}") from None
 
     def save(self, sections: SectionSet) -> None:
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -3,6 +3,11 @@
 from enum import Enum
 from typing import ClassVar
 
+import msgspec
+
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
+"""What decoders raise for bytes that are malformed, nested too deeply or not UTF-8."""
+
 
 class ErrorCode(Enum):
     """Stable codes; docs/OPERATIONS.md says what to do about each."""
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -38,6 +38,7 @@
     EXPIRY_HELD = "expiry_held"
     EXPIRY_RESUMED = "expiry_resumed"
     REGISTRY_TABLE_HELD = "registry_table_held"
+    HOST_RECORDS_SKIPPED = "host_records_skipped"
     REGISTRY_CHANGE_LOST = "registry_change_lost"
     REGISTRY_LEADERSHIP_GAINED = "registry_lead_gained"
     REGISTRY_LEADERSHIP_LOST = "registry_lead_lost"
--- a/src/samphirespring/process/metric_names.py
+++ b/src/samphirespring/process/metric_names.py
@@ -54,6 +54,7 @@
 
     # Registry.
     REGISTRY_REPORTS = "registry.reports"
+    REGISTRY_RECORDS_SKIPPED = "registry.records_skipped"
     REGISTRY_EXPIRED = "registry.expired"
 
     # Replicated log.
--- a/src/samphirespring/process/operation/log_files.py
+++ b/src/samphirespring/process/operation/log_files.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from samphirespring.process.errors import DECODE_ERRORS
+
 
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
     """One line of a process's log.
@@ -48,7 +50,7 @@
         fields: dict[str, Any] = msgspec.json.decode(brace + rest, type=dict[str, Any])
         at = datetime.fromisoformat(fields.pop("timestamp"))
         event = str(fields.pop("event"))
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+    except (*DECODE_ERRORS, KeyError, TypeError):
         return None
     fields.pop("level", None)
     words = prefix.decode(errors="replace").split()
--- a/src/samphirespring/process/programs/ctl.py
+++ b/src/samphirespring/process/programs/ctl.py
@@ -25,7 +25,7 @@
     SectionView,
     StatusView,
 )
-from samphirespring.process.errors import SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, SamphireError
 from samphirespring.process.ids import ReplicaId
 from samphirespring.process.operation.dump_reader import read_dump
 from samphirespring.process.operation.dump_tables import make_dump_tables
@@ -134,7 +134,7 @@
     text = _read_file(file)
     try:
         msgspec.json.decode(text)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         exit_with_usage_error(f"{file}: {error}")
     body = ChangeBody(
         base_version=base, change_id=change_id or uuid.uuid4().hex, content=msgspec.Raw(text)
@@ -345,7 +345,7 @@
 def _make_diff(current: bytes, changed: bytes, version: int, file: Path) -> str:
     try:
         texts = [msgspec.json.format(text, indent=2).decode() for text in (current, changed)]
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         exit_with_usage_error(f"{file}: {error}")
     old, new = (text.splitlines(keepends=False) for text in texts)
     lines = difflib.unified_diff(old, new, f"version {version}", str(file), lineterm="")
--- /dev/null
+++ b/src/samphirespring/process/registry/record_check.py
@@ -0,0 +1,56 @@
+"""Checks of host records from other processes, so that one invalid record is skipped alone."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from samphirespring.process.bounds import MAX_NAME_LENGTH, MAX_SLOTS, IpPort, check_address
+from samphirespring.process.targets import HostRecord, TargetRecord
+
+
+def select_valid(records: Iterable[HostRecord]) -> tuple[list[HostRecord], list[str]]:
+    """Return the valid records, and a description of each invalid one.
+
+    Args:
+        records: Records as received.
+    """
+    valid: list[HostRecord] = []
+    problems: list[str] = []
+    for record in records:
+        problem = find_problem(record)
+        if problem is None:
+            valid.append(record)
+        else:
+            problems.append(f"{record.locality.host[:MAX_NAME_LENGTH]}: {problem}")
+    return valid, problems
+
+
+def find_problem(record: HostRecord) -> str | None:
+    """Return why a record can't be used, or None if it can.
+
+    Args:
+        record: The record.
+    """
+    locality = record.locality
+    if not all(map(_is_name, (locality.host, locality.region, locality.failure_domain))):
+        return "invalid name of the host or its location"
+    if min(record.incarnation, record.sequence) < 0:
+        return "negative incarnation or sequence"
+    try:
+        check_address(msgspec.convert(record.link_address, IpPort))
+    except (msgspec.ValidationError, ValueError) as error:
+        return f"invalid link address: {error}"
+    return next(filter(None, map(_find_target_problem, record.targets)), None)
+
+
+def _find_target_problem(record: TargetRecord) -> str | None:
+    if not _is_name(record.target) or not _is_name(record.service):
+        return "invalid name of a target or its service"
+    load = record.load
+    if not 1 <= load.slots <= MAX_SLOTS or not 0 <= load.free_slots <= load.slots:
+        return "slots out of range"
+    return None
+
+
+def _is_name(text: str) -> bool:
+    return 1 <= len(text) <= MAX_NAME_LENGTH
--- a/src/samphirespring/process/registry_service.py
+++ b/src/samphirespring/process/registry_service.py
@@ -6,6 +6,7 @@
 import anyio
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
+from samphirespring.process.bounds import MAX_NAME_LENGTH
 from samphirespring.process.control_directory import compute_digest
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.event_log import EventLog
@@ -29,6 +30,7 @@
     HostsChanged,
 )
 from samphirespring.process.registry.leases import HostLeases
+from samphirespring.process.registry.record_check import find_problem
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry.table_distribution import TableDistribution
 from samphirespring.process.replication.errors import BusyError
@@ -242,8 +244,7 @@
             if report.record is None:
                 hosts_without_record.append(report.host)
             else:
-                self._pending[report.host] = report.record
-                self._pending_changed.set()
+                self._accept_record(report.record)
         has_control_links = batch.known_control_digest == compute_digest(self._control_links)
         return BatchReply(
             delta=delta,
@@ -253,6 +254,16 @@
             document=NO_STAMP if self._read_document is None else self._read_document(),
         )
 
+    def _accept_record(self, record: HostRecord) -> None:
+        problem = find_problem(record)
+        if problem is None:
+            self._pending[record.locality.host] = record
+            self._pending_changed.set()
+            return
+        host = record.locality.host[:MAX_NAME_LENGTH]
+        _log.warning(LogEvent.HOST_RECORDS_SKIPPED, records=[f"{host}: {problem}"])
+        self._metrics.count(Counter.REGISTRY_RECORDS_SKIPPED)
+
     def _choose_table_sources(
         self, batch: ReportBatch, entries: Sequence[HostEntry | None], now_s: float
     ) -> tuple[str, ...]:
--- a/src/samphirespring/process/replay/trace.py
+++ b/src/samphirespring/process/replay/trace.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from samphirespring.process.detection.states import ObservedOutcome
-from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
 from samphirespring.process.ids import TargetId
 from samphirespring.version.ids import ServiceName
 from samphirespring.version.states import DetectionMode
@@ -152,7 +152,7 @@
                 self._set_header(_HEADER_DECODER.decode(line), number=number)
             else:
                 self._add_line(_LINE_DECODER.decode(line), number=number)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise TraceInvalidError(str(error), line=number) from None
 
     def finish(self) -> Trace:
--- a/src/samphirespring/process/replication/segments.py
+++ b/src/samphirespring/process/replication/segments.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.replication.disk import AppendFile, Disk
 from samphirespring.process.replication.entries import Entry
@@ -137,7 +138,7 @@
     def _decode(self, name: str, body: bytes) -> tuple[Entry, ...]:
         try:
             return self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise LogCorruptError(f"{name}: {error}") from None
 
     def _open_file(self) -> AppendFile:
--- a/src/samphirespring/process/replication/state_machine_adapter.py
+++ b/src/samphirespring/process/replication/state_machine_adapter.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from samphirespring.process.errors import InternalError
+from samphirespring.process.errors import DECODE_ERRORS, InternalError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.log_events import LogEvent
@@ -52,7 +52,7 @@
         payload = self._encoder.encode(command)
         try:
             self._command_decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise InternalError(f"command is not of the declared type: {error}") from None
         return payload
 
@@ -118,7 +118,7 @@
         """
         try:
             snapshot = self._initial_state if data is None else self._snapshot_decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise InternalError(f"snapshot is not of the declared type: {error}") from None
         yield from self._state_machine.restore_snapshot_steps(snapshot)
         self._applied_index = index
--- a/src/samphirespring/process/replication/storage.py
+++ b/src/samphirespring/process/replication/storage.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.process.ids import LogIndex, Term
 from samphirespring.process.replication.disk import TEMPORARY_SUFFIX, Disk
 from samphirespring.process.replication.entries import (
@@ -258,5 +259,5 @@
 def _decode(body: bytes, type_: type[StructT]) -> StructT:
     try:
         return msgspec.msgpack.decode(body, type=type_)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise LogCorruptError(f"{type_.__name__}: {error}") from None
--- a/src/samphirespring/process/settings.py
+++ b/src/samphirespring/process/settings.py
@@ -6,15 +6,13 @@
 
 import msgspec
 
-from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.bounds import IpPort
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
 from samphirespring.process.ids import FailureDomainName, HostId, RegionName, ReplicaId
 
 SETTINGS_EXIT_STATUS = 2
 """Exit status of a program whose settings are invalid."""
 
-ListenAddress = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
-"""`IP:port`."""
-
 Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 30)]
 Seconds = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 
@@ -54,7 +52,7 @@
 class StatsdSettings(_SettingsBase, frozen=True, kw_only=True):
     """Where metrics are sent."""
 
-    address: ListenAddress
+    address: IpPort
     """`IP:port` of the statsd server."""
 
     prefix: str = "samphire"
@@ -97,25 +95,25 @@
     locality: LocalitySettings
     """Location of the node."""
 
-    caller_listen: ListenAddress
+    caller_listen: IpPort
     """`IP:port` for callers' HTTP."""
 
-    link_listen: ListenAddress
+    link_listen: IpPort
     """`IP:port` for links of the fleet's processes."""
 
-    link_advertised: ListenAddress | None = None
+    link_advertised: IpPort | None = None
     """`IP:port` where other processes reach the links; null means `link_listen`."""
 
-    local_listen: ListenAddress
+    local_listen: IpPort
     """`IP:port` where backend servers of this host announce themselves and the dump is read."""
 
-    control_links: Annotated[tuple[ListenAddress, ...], msgspec.Meta(min_length=1)]
+    control_links: Annotated[tuple[IpPort, ...], msgspec.Meta(min_length=1)]
     """Link addresses of the control hosts."""
 
     report_interval_s: Seconds = 1.0
     """Time between two reports to the registry, in seconds."""
 
-    peer_links: tuple[ListenAddress, ...] = ()
+    peer_links: tuple[IpPort, ...] = ()
     """Link addresses of nodes from which this node gets its first target table, and the document
     while no control host is reachable."""
 
@@ -151,7 +149,7 @@
     statsd: StatsdSettings | None = None
     """Where metrics are sent; null sends none."""
 
-    metrics_listen: ListenAddress | None = None
+    metrics_listen: IpPort | None = None
     """`IP:port` where `/metrics` serves the metrics as text; null serves none."""
 
 
@@ -161,10 +159,10 @@
     replica: ReplicaId
     """Name of the control host."""
 
-    link_address: ListenAddress
+    link_address: IpPort
     """`IP:port` of its link server."""
 
-    operator_address: ListenAddress | None = None
+    operator_address: IpPort | None = None
     """`IP:port` where operators reach the host, for redirects to the leader."""
 
     region: RegionName | None = None
@@ -179,7 +177,7 @@
 class DiscoverySettings(_SettingsBase, frozen=True, kw_only=True):
     """How control hosts find each other when the settings name only some of them."""
 
-    seeds: Annotated[tuple[ListenAddress, ...], msgspec.Meta(min_length=1)]
+    seeds: Annotated[tuple[IpPort, ...], msgspec.Meta(min_length=1)]
     """Link addresses of some control hosts; at the first start, the same on all hosts."""
 
     first_start: bool = False
@@ -199,10 +197,10 @@
     replica: ReplicaId
     """Name of the control host, unique among the control hosts."""
 
-    link_listen: ListenAddress
+    link_listen: IpPort
     """`IP:port` for links of the fleet's processes."""
 
-    operator_listen: ListenAddress
+    operator_listen: IpPort
     """`IP:port` for operators' HTTP."""
 
     peers: tuple[ReplicaPeer, ...] = ()
@@ -241,7 +239,7 @@
     statsd: StatsdSettings | None = None
     """Where metrics are sent; null sends none."""
 
-    metrics_listen: ListenAddress | None = None
+    metrics_listen: IpPort | None = None
     """`IP:port` where `/metrics` serves the metrics as text; null serves none."""
 
     def __post_init__(self) -> None:
@@ -278,9 +276,7 @@
         return msgspec.json.decode(path.read_bytes(), type=settings_type)
     except OSError as error:
         raise SettingsInvalidError(f"{path}: {error.strerror}") from None
-    except msgspec.MsgspecError as error:
-        raise SettingsInvalidError(f"{path}: {error}") from None
-    except UnicodeDecodeError as error:
+    except DECODE_ERRORS as error:
         raise SettingsInvalidError(f"{path}: {error}") from None
 
 
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -25,6 +25,7 @@
     make_single_part_list,
 )
 from samphirespring.process.registry.held_hosts import HeldHosts
+from samphirespring.process.registry.record_check import select_valid
 from samphirespring.process.service_pool import ServicePool
 from samphirespring.process.target_advice import TargetAdvice, TargetAdviceDump
 from samphirespring.process.targets import (
@@ -383,7 +384,10 @@
         count_before = len(self._hosts)
         if delta.complete:
             self._apply_complete_table(delta)
-        for record in delta.hosts:
+        records, problems = select_valid(delta.hosts)
+        if problems:
+            _log.warning(LogEvent.HOST_RECORDS_SKIPPED, records=problems)
+        for record in records:
             self._put_host(record)
         for host in delta.gone:
             self._remove_host(host)
--- a/src/samphirespring/version/parser.py
+++ b/src/samphirespring/version/parser.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from samphirespring.process.errors import ErrorCode, InternalError, SamphireError
+from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, InternalError, SamphireError
 from samphirespring.version.cross_reference_index import CrossReferenceIndex
 from samphirespring.version.document import (
     ACCESS_SECTION,
@@ -51,7 +51,7 @@
     """
     try:
         sections = msgspec.json.decode(text, type=dict[SectionName, msgspec.Raw])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentInvalidError((str(error),)) from None
     return {name: bytes(raw) for name, raw in sections.items()}
 
@@ -73,7 +73,7 @@
     expected = _choose_type(name)
     try:
         section: Section = msgspec.json.decode(text, type=expected)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentInvalidError(_list_problems(name, text, expected, error)) from None
     return section
 
@@ -199,6 +199,6 @@
     path = f"$.{name}"
     try:
         value = msgspec.json.decode(text)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as decode_error:
+    except DECODE_ERRORS as decode_error:
         return (f"{decode_error} - at `{path}`",)
     return tuple(find_problems(value, expected, path=path)) or (f"{error} - at `{path}`",)
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -58,6 +58,20 @@
             heartbeat["status"]["cold-remaining"] = "12"
         case "the address is another host's":
             heartbeat["address"] = "10.9.9.9:8628"
+        case "the address is 8,000 nested arrays":
+            return b'{"address": %s}' % (b"[" * 8_000 + b"]" * 8_000)
+        case "the address is 3,000 nested objects":
+            return b'{"address": %s0%s}' % (b'{"":' * 3_000, b"}" * 3_000)
+        case "the start is 2^70":
+            heartbeat["born"] = 1 << 70
+        case "the sequence is 2^64":
+            heartbeat["status"]["sequence"] = 1 << 64
+        case "the cold time has 400 digits":
+            heartbeat["status"]["cold-remaining"] = "9" * 400 + "ms"
+        case "the slots are 10^30":
+            heartbeat["info"]["slots"] = 10**30
+        case "the service has 9,000 letters":
+            heartbeat["info"]["service"] = "s" * 9_000
     return heartbeat
 
 
