--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -5,11 +5,11 @@
 import ssl
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass
 from typing import Any
 
 import anyio
 import h11
+import msgspec
 import uvicorn
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
@@ -30,8 +30,7 @@
 """How long the rest of a malformed request is read and discarded, in seconds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConnectionBounds:
+class ConnectionBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Limits on the size of request heads and on the waiting times of one client connection.
 
     Attributes:
--- a/src/samphirespring/connection/link_methods.py
+++ b/src/samphirespring/connection/link_methods.py
@@ -1,14 +1,14 @@
 """Declarations of RPC methods that processes call over links."""
 
-from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
+import msgspec
+
 RequestT = TypeVar("RequestT")
 ReplyT = TypeVar("ReplyT")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LinkMethod(Generic[RequestT, ReplyT]):
+class LinkMethod(msgspec.Struct, Generic[RequestT, ReplyT], frozen=True, kw_only=True):
     """Base of method declarations; each subclass defines the number of requests and replies.
 
     Attributes:
@@ -22,13 +22,13 @@
     reply_type: Any
 
 
-class UnaryMethod(LinkMethod[RequestT, ReplyT]):
+class UnaryMethod(LinkMethod[RequestT, ReplyT], frozen=True, kw_only=True):
     """One request, one reply."""
 
 
-class StreamMethod(LinkMethod[RequestT, ReplyT]):
+class StreamMethod(LinkMethod[RequestT, ReplyT], frozen=True, kw_only=True):
     """One request, a stream of replies."""
 
 
-class UploadMethod(LinkMethod[RequestT, ReplyT]):
+class UploadMethod(LinkMethod[RequestT, ReplyT], frozen=True, kw_only=True):
     """A stream of requests, one reply at its end."""
--- a/src/samphirespring/connection/metrics_http.py
+++ b/src/samphirespring/connection/metrics_http.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from prometheus_client import CONTENT_TYPE_LATEST
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -28,7 +27,8 @@
     """
 
     async def respond(request: Request) -> Response:
-        return Response(await metrics.read_text(), headers={"content-type": CONTENT_TYPE_LATEST})
+        text = await metrics.read_text()
+        return Response(text.body, headers={"content-type": text.content_type})
 
     if address is None:
         yield
--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -1,5 +1,6 @@
 """Translates the operator's configuration into sections of the document."""
 
+from enum import Enum
 from typing import Annotated, Any
 
 import msgspec
@@ -24,7 +25,14 @@
 OPERATOR_SECTION = SectionName("operator")
 """Section that holds the operator's routes and services."""
 
-IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+
+class _RouteKind(Enum):
+    """What may be repeated on a route."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    UPLOAD = "upload"
+    """Like `unsafe`, with large bodies."""
 
 
 class ServiceDefaults(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,7 +72,7 @@
 class _RouteSpec(_ConfigurationObject, frozen=True, kw_only=True):
     host: str
     path_prefix: str
-    kind: str
+    kind: _RouteKind
     timeout: str
     """Time limit of a request; all of it may be spent waiting for capacity."""
 
@@ -150,9 +158,7 @@
 
 
 def _make_route(spec: _RouteSpec) -> RoutePolicy:
-    if spec.kind not in IDEMPOTENT_BY_KIND:
-        raise ValueError(f"unknown route kind `{spec.kind}`")
-    idempotent = IDEMPOTENT_BY_KIND[spec.kind]
+    idempotent = spec.kind is _RouteKind.SAFE
     split = {entry.service: entry.weight for entry in spec.traffic_split if entry.weight > 0}
     service = spec.service
     if service is None:
--- a/src/samphirespring/platform/control.py
+++ b/src/samphirespring/platform/control.py
@@ -1,13 +1,13 @@
 """`samphire-control` with the platform's settings and protocols."""
 
-from samphirespring.platform.adapters import PlatformControlAdapter
+from samphirespring.platform.control_adapter import PlatformControlAdapter
 from samphirespring.platform.settings import (
     PlatformControlSettings,
     find_settings_file,
     watch_settings_file,
 )
+from samphirespring.process.composition.control import ControlHost
 from samphirespring.process.logs import configure_logs
-from samphirespring.process.programs.control import ControlHost
 from samphirespring.process.runtime import load_settings_or_exit, run_program
 
 
--- /dev/null
+++ b/src/samphirespring/platform/control_adapter.py
@@ -0,0 +1,45 @@
+"""Adapter for the platform's protocols at a control host."""
+
+from typing import Any
+
+from samphirespring.platform.configuration import ServiceDefaults
+from samphirespring.platform.operator_http import ConfigurationApp
+from samphirespring.platform.settings import PlatformControlSettings
+from samphirespring.platform.units import parse_seconds
+from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
+
+FRONT_BUDGET_SHARE = 0.6
+"""Share of the fleet's retry budget that the fronts may spend.
+
+The rest is for the calls that a repeated execution makes in turn, which count against the budget
+too.
+"""
+
+
+class PlatformControlAdapter(ControlAdapter):
+    """Serves the operator's calls at a control host.
+
+    Args:
+        settings: The host's settings.
+    """
+
+    def __init__(self, settings: PlatformControlSettings) -> None:
+        self._settings = settings
+
+    def make_operator_app(self, components: ControlComponents) -> Any:
+        """Return the ASGI application for the operator."""
+        return ConfigurationApp(
+            components.documents,
+            defaults=_read_defaults(self._settings),
+            operator_port=self._settings.operator_port,
+        ).make_app()
+
+
+def _read_defaults(settings: PlatformControlSettings) -> ServiceDefaults:
+    bounds = settings.bounds
+    return ServiceDefaults(
+        floor=float(bounds.get("floor-share", "0.7")),
+        retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
+        retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
+        retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
+    )
--- a/src/samphirespring/platform/node.py
+++ b/src/samphirespring/platform/node.py
@@ -1,13 +1,13 @@
 """`samphire-node` with the platform's settings and protocols."""
 
-from samphirespring.platform.adapters import PlatformNodeAdapter
+from samphirespring.platform.node_adapter import PlatformNodeAdapter
 from samphirespring.platform.settings import (
     PlatformNodeSettings,
     find_settings_file,
     watch_settings_file,
 )
+from samphirespring.process.composition.node import Node
 from samphirespring.process.logs import configure_logs
-from samphirespring.process.programs.node import Node
 from samphirespring.process.runtime import load_settings_or_exit, run_program
 
 
--- a/src/samphirespring/process/action_guard.py
+++ b/src/samphirespring/process/action_guard.py
@@ -1,6 +1,6 @@
 """Ensures that an action's attempt starts at most once on this host, and never after a fence."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.process.attempt_table import AttemptTable, FenceReply
 from samphirespring.process.ids import Incarnation
@@ -16,8 +16,7 @@
 INBOX_CAPACITY = 10_000
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StartAction:
+class StartAction(msgspec.Struct, frozen=True, kw_only=True):
     """Requests permission to start an attempt; the reply is None if it is granted.
 
     Attributes:
@@ -31,8 +30,7 @@
     reply: ReplySlot[AttemptRefused | AttemptFailed | None]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EndAction:
+class EndAction(msgspec.Struct, frozen=True, kw_only=True):
     """Reports the end of a started attempt."""
 
     attempt: AttemptId
@@ -40,8 +38,7 @@
     response: StoredResponse | None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FenceAction:
+class FenceAction(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the state of an attempt; one that didn't start never will."""
 
     assignment: AttemptAssignment
--- a/src/samphirespring/process/action_runner.py
+++ b/src/samphirespring/process/action_runner.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from samphirespring.process.event_log import EventLog
@@ -26,8 +26,7 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunAction:
+class RunAction(msgspec.Struct, frozen=True, kw_only=True):
     """Requests that an action is run."""
 
     exchange: ActionExchange
--- a/src/samphirespring/process/admission_queue.py
+++ b/src/samphirespring/process/admission_queue.py
@@ -1,7 +1,8 @@
 """Bounded queue of attempts that wait for a slot of one target."""
 
 from bisect import insort
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.mailbox import ReplySlot
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
@@ -15,16 +16,14 @@
 """Share of the queue that attempts of the helper class may fill."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Admission:
+class Admission(msgspec.Struct, frozen=True, kw_only=True):
     """Permission to run one attempt in a slot of a target."""
 
     address: str
     """`IP:port` of the backend server."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, eq=False)
-class Waiter:
+class Waiter(msgspec.Struct, frozen=True, kw_only=True, eq=False):
     """An attempt in the queue.
 
     Attributes:
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent_messages.py
@@ -1,7 +1,6 @@
 """Messages to the agent, and its dumps."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Annotated
 
 import msgspec
@@ -74,8 +73,7 @@
     """The announcement must be renewed within this time, in seconds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AnnounceTarget:
+class AnnounceTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Adds a target or renews its lease."""
 
     target: TargetId
@@ -83,8 +81,7 @@
     reply: ReplySlot[AnnouncementReceipt]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WithdrawTarget:
+class WithdrawTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Removes a target; requests in flight continue."""
 
     target: TargetId
@@ -95,16 +92,14 @@
     """Whether the target was registered."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AdmitAttempt:
+class AdmitAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a slot for an attempt."""
 
     request: AttemptRequest
     reply: ReplySlot[Admission | AttemptRefused]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FinishAttempt:
+class FinishAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Releases a slot and reports the outcome of the attempt."""
 
     target: TargetId
@@ -120,8 +115,7 @@
     """Whether `RecordStall` reported the attempt before."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RecordStall:
+class RecordStall(msgspec.Struct, frozen=True, kw_only=True):
     """Reports an attempt in flight whose wait far exceeds the usual latency."""
 
     target: TargetId
@@ -129,43 +123,37 @@
     terms: DetectionTerms | None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ListProbePlans:
+class ListProbePlans(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the probe plans of the host's targets."""
 
     reply: ReplySlot[tuple[ProbePlan, ...]]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RecordProbe:
+class RecordProbe(msgspec.Struct, frozen=True, kw_only=True):
     """Reports the result of a probe."""
 
     target: TargetId
     succeeded: bool
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UsePolicies:
+class UsePolicies(msgspec.Struct, frozen=True, kw_only=True):
     """Applies the services' policies of a new version of the document."""
 
     version: DocumentVersion
     services: Mapping[ServiceName, ServicePolicy]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadHostRecord:
+class ReadHostRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the host's record for the registry."""
 
     reply: ReplySlot[HostRecord | None]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DrainHost:
+class DrainHost(msgspec.Struct, frozen=True, kw_only=True):
     """Makes the agent refuse all new attempts."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SetDrain:
+class SetDrain(msgspec.Struct, frozen=True, kw_only=True):
     """Starts or ends a drain on an operator's request."""
 
     target: TargetId | None
@@ -200,8 +188,7 @@
     waiting_messages: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadAgentDump:
+class ReadAgentDump(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the agent's state."""
 
     reply: ReplySlot[AgentDump]
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncGenerator, Iterator
 from contextlib import contextmanager, nullcontext
-from dataclasses import dataclass, field
 
 import anyio
 import msgspec
@@ -42,13 +41,12 @@
 """Batches of one attempt that are buffered for a slow front."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StartAttempt:
+class StartAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Requests that an attempt is run and its frames are sent."""
 
     request: AttemptRequest
     frames: MemoryObjectSendStream[FrameBatch]
-    cancel_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    cancel_scope: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     """Scope of an idempotent attempt; cancelled when the front disconnects."""
 
 
--- a/src/samphirespring/process/bounds.py
+++ b/src/samphirespring/process/bounds.py
@@ -29,7 +29,7 @@
 
 IpPort = Annotated[
     str,
-    msgspec.Meta(max_length=MAX_ADDRESS_LENGTH, pattern=rf"^({IP}):({PORT})\Z"),
+    msgspec.Meta(title="`IP:port`", max_length=MAX_ADDRESS_LENGTH, pattern=rf"^({IP}):({PORT})\Z"),
 ]
 """`IP:port` with a port that exists; `check_address` also checks the IP address."""
 
--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -1,12 +1,10 @@
-"""`samphire-control`: runs one control host, with its replicas of the document and the registry."""
+"""Composes the tasks of one control host: its replicas of the document and the registry."""
 
 import random
 from collections.abc import Mapping, Sequence
 from functools import partial
-from pathlib import Path
-from typing import Annotated, Any
+from typing import Any
 
-import typer
 from starlette.applications import Starlette
 
 from samphirespring.connection.document_link import (
@@ -21,38 +19,31 @@
 from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.connection.operator_http import OperatorApp
 from samphirespring.connection.registry_link import REPORT_HOSTS
+from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
 from samphirespring.process.control_groups import ControlGroups
 from samphirespring.process.document.initializer import DocumentInitializer
 from samphirespring.process.document.leader_contact import LeaderContactWatch
-from samphirespring.process.document.service import DocumentService, minify
-from samphirespring.process.document.state_machine import FIRST_VERSION, DocumentStateMachine
+from samphirespring.process.document.service import DocumentService
+from samphirespring.process.document.state_machine import DocumentStateMachine
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, ReplicaId
 from samphirespring.process.ledger.service import LedgerService
 from samphirespring.process.log_events import LogEvent
-from samphirespring.process.logs import configure_logs
-from samphirespring.process.metrics import make_metrics
+from samphirespring.process.metrics_setup import make_metrics
 from samphirespring.process.node_operations_client import NodeOperationsClient
-from samphirespring.process.programs.adapters import ControlAdapter, ControlComponents
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.group_status import GroupOperations
 from samphirespring.process.runtime import (
-    load_settings_or_exit,
-    run_program,
     run_tasks,
     watch_stop_signals,
 )
 from samphirespring.process.settings import (
     ControlSettings,
-    SettingsInvalidError,
-    exit_on_invalid_settings,
-    load_settings,
 )
 from samphirespring.process.settings_watch import (
     SeedConsumer,
-    SeedReader,
     WatchedFile,
     make_settings_watch,
 )
@@ -60,11 +51,6 @@
 from samphirespring.process.timers import MonotonicTimerService
 from samphirespring.process.tls_reloader import TlsContextStore, TlsReloader
 from samphirespring.version.ids import SectionName
-from samphirespring.version.parser import (
-    DocumentInvalidError,
-    parse_document,
-    split_document,
-)
 
 LINK_CAPACITY = 4_000
 DOCUMENT_GROUP = GroupId("document")
@@ -211,17 +197,6 @@
         ).make_app()
 
 
-class _ControlSeedReader(SeedReader):
-    """Reads seeds from the project's own settings file."""
-
-    def read_seeds(self, path: Path) -> tuple[str, ...]:
-        """Return the seeds, or the link addresses of all peers if the file has no seeds."""
-        control_settings = load_settings(path, ControlSettings)
-        if control_settings.discovery is not None:
-            return control_settings.discovery.seeds
-        return tuple(peer.link_address for peer in control_settings.peers)
-
-
 async def _read_control_links(group: GroupOperations) -> tuple[str, ...]:
     """Return the link addresses of all members of a group."""
     status = await group.read_status()
@@ -233,34 +208,3 @@
     status = await group.read_status()
     links = (m.link_address for m in status.members if m.replica == replica)
     return next(links, None)
-
-
-def _read_initial_sections(settings: ControlSettings) -> dict[SectionName, bytes]:
-    if settings.initial_document_file is None:
-        return {}
-    path = Path(settings.initial_document_file)
-    try:
-        text = path.read_bytes()
-        parse_document(text, version=FIRST_VERSION)
-    except OSError as error:
-        raise SettingsInvalidError(f"{path}: {error.strerror}") from None
-    return {name: minify(part) for name, part in split_document(text).items()}
-
-
-def run_control(
-    settings: Annotated[Path, typer.Option(help="JSON file with the control host's settings.")],
-) -> None:
-    """Run one control host."""
-    control_settings = load_settings_or_exit(settings, ControlSettings)
-    configure_logs(control_settings.log.level)
-    try:
-        file = WatchedFile(path=settings, reader=_ControlSeedReader())
-        control = ControlHost(control_settings, _read_initial_sections(control_settings), file=file)
-    except (SettingsInvalidError, DocumentInvalidError) as error:
-        exit_on_invalid_settings(error)
-    run_program(control.run)
-
-
-def main() -> None:
-    """Run the program."""
-    typer.run(run_control)
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -1,13 +1,11 @@
-"""`samphire-node`: runs the front and the agent of one host."""
+"""Composes the tasks of one node: the front and the agent of a host."""
 
 import random
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Annotated
 
 import anyio
-import typer
 
 from samphirespring.connection.attempt_link import RUN_ATTEMPT, LinkAttemptSender
 from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
@@ -39,6 +37,7 @@
 from samphirespring.process.agent import Agent
 from samphirespring.process.agent_messages import DrainHost
 from samphirespring.process.attempt_runner import AttemptRunner
+from samphirespring.process.composition.node_adapter import NodeAdapter, NodeComponents
 from samphirespring.process.control_client import ControlClient
 from samphirespring.process.control_directory import ControlDirectory
 from samphirespring.process.document.compiler import DocumentCompiler
@@ -53,31 +52,23 @@
 from samphirespring.process.front import Front
 from samphirespring.process.ledger.client import LedgerClient
 from samphirespring.process.log_events import LogEvent
-from samphirespring.process.logs import configure_logs
-from samphirespring.process.metrics import make_metrics
+from samphirespring.process.metrics_setup import make_metrics
 from samphirespring.process.node_operations import NodeOperations
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
-from samphirespring.process.programs.adapters import NodeAdapter, NodeComponents
 from samphirespring.process.registry.initial_table import InitialTableSearch
 from samphirespring.process.registry.report_sender import TreeReportSender
 from samphirespring.process.registry_client import RegistryClient
 from samphirespring.process.runtime import (
-    load_settings_or_exit,
-    run_program,
     run_tasks,
     watch_stop_signals,
 )
 from samphirespring.process.settings import (
     CallerLimits,
     NodeSettings,
-    SettingsInvalidError,
-    exit_on_invalid_settings,
-    load_settings,
 )
 from samphirespring.process.settings_watch import (
     SeedConsumer,
-    SeedReader,
     WatchedFile,
     make_settings_watch,
 )
@@ -408,31 +399,5 @@
     )
 
 
-class _NodeSeedReader(SeedReader):
-    """Reads seeds from the project's own settings file."""
-
-    def read_seeds(self, path: Path) -> tuple[str, ...]:
-        """Return the link addresses of the control hosts."""
-        return load_settings(path, NodeSettings).control_links
-
-
 def _make_document_file(data_folder: str | None) -> DocumentFile | None:
     return None if data_folder is None else DocumentFile(Path(data_folder))
-
-
-def run_node(
-    settings: Annotated[Path, typer.Option(help="JSON file with the node's settings.")],
-) -> None:
-    """Run the front and the agent of one host."""
-    node_settings = load_settings_or_exit(settings, NodeSettings)
-    configure_logs(node_settings.log.level)
-    try:
-        node = Node(node_settings, file=WatchedFile(path=settings, reader=_NodeSeedReader()))
-    except SettingsInvalidError as error:
-        exit_on_invalid_settings(error)
-    run_program(node.run)
-
-
-def main() -> None:
-    """Run the program."""
-    typer.run(run_node)
--- a/src/samphirespring/process/composition/node_adapter.py
+++ b/src/samphirespring/process/composition/node_adapter.py
@@ -1,26 +1,25 @@
-"""Interfaces of the protocol adapters, which translate between external protocols and the programs.
+"""Interface of a node's protocol adapter, which translates external protocols.
 
 The project's own protocols are one implementation. A deployment with other protocols supplies its
-own adapters and shares all decisions and state.
+own adapter and shares all decisions and state.
 """
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from samphirespring.connection.backend_dialect import BackendDialect
 from samphirespring.process.agent_messages import AgentMessage
-from samphirespring.process.document.service import DocumentService
 from samphirespring.process.front import Front
 from samphirespring.process.mailbox import Mailbox
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.tasks import OwnerTask
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class NodeComponents:
+class NodeComponents(msgspec.Struct, frozen=True, kw_only=True):
     """Components of a node that its adapter exposes.
 
     Attributes:
@@ -36,19 +35,6 @@
     readiness: NodeReadiness
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ControlComponents:
-    """Components of a control host that its adapter exposes.
-
-    Attributes:
-        documents: Reads and changes the document.
-        tasks: All tasks, for dumps.
-    """
-
-    documents: DocumentService
-    tasks: Sequence[OwnerTask]
-
-
 class NodeAdapter(ABC):
     """Protocols of a node towards callers, backend servers and processes on its host."""
 
@@ -71,15 +57,3 @@
         Args:
             components: The node's components.
         """
-
-
-class ControlAdapter(ABC):
-    """Protocol of a control host towards operators."""
-
-    @abstractmethod
-    def make_operator_app(self, components: ControlComponents) -> Any:
-        """Return the ASGI application for operators.
-
-        Args:
-            components: The control host's components.
-        """
--- a/src/samphirespring/process/detection/ejections.py
+++ b/src/samphirespring/process/detection/ejections.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import TargetId
 from samphirespring.process.states import TargetCondition, TargetPhase
@@ -26,8 +27,7 @@
 ROUNDING = 1e-9
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetStatus:
+class TargetStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Input of a decision on ejections: state of one target as a front sees it.
 
     Attributes:
@@ -53,8 +53,7 @@
     silent: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EjectionDecision:
+class EjectionDecision(msgspec.Struct, frozen=True, kw_only=True):
     """Result of a decision on ejections.
 
     Attributes:
--- a/src/samphirespring/process/detection/observations.py
+++ b/src/samphirespring/process/detection/observations.py
@@ -1,6 +1,6 @@
 """Observations of attempts, the input of detectors."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.process.detection.states import ObservedOutcome
 
@@ -15,8 +15,7 @@
 """Outcomes that count against a target."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Observation:
+class Observation(msgspec.Struct, frozen=True, kw_only=True):
     """End of one attempt as evidence.
 
     Attributes:
@@ -33,8 +32,7 @@
     stalled: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Stall:
+class Stall(msgspec.Struct, frozen=True, kw_only=True):
     """Attempt in flight that has waited far longer than usual, as evidence.
 
     Attributes:
--- a/src/samphirespring/process/detection/parameters.py
+++ b/src/samphirespring/process/detection/parameters.py
@@ -1,12 +1,11 @@
 """Parameter sets of the detector, one for each detection mode."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.version.states import DetectionMode
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DetectionParameters:
+class DetectionParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Parameters that differ between detection modes; the algorithm is the same.
 
     Attributes:
--- a/src/samphirespring/process/detection/pool_evaluator.py
+++ b/src/samphirespring/process/detection/pool_evaluator.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import replace
+
+import msgspec
 
 from samphirespring.process.detection.ejections import (
     EJECTABLE,
@@ -159,7 +160,7 @@
         if status.target not in self._exempt_until_s:
             return status
         # The evidence comes from the common cause and only needs time to decay.
-        return replace(status, condition=TargetCondition.SUSPECT)
+        return msgspec.structs.replace(status, condition=TargetCondition.SUSPECT)
 
     def _drop_expired(self, now_s: float) -> None:
         oldest_s = now_s - SUMMARY_MAX_AGE_S
--- a/src/samphirespring/process/detection/probe_schedule.py
+++ b/src/samphirespring/process/detection/probe_schedule.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import TargetId
 
@@ -13,8 +14,7 @@
 """Maximum number of probes of one host in flight."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ProbePlan:
+class ProbePlan(msgspec.Struct, frozen=True, kw_only=True):
     """Endpoint, interval and timeout of the probes of one target.
 
     Attributes:
@@ -32,8 +32,7 @@
     timeout_s: float
 
 
-@dataclass(slots=True, kw_only=True)
-class _Entry:
+class _Entry(msgspec.Struct, kw_only=True):
     plan: ProbePlan
     due_s: float
     running: bool = False
--- a/src/samphirespring/process/detection/service_view.py
+++ b/src/samphirespring/process/detection/service_view.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-from dataclasses import dataclass
 
 import msgspec
 
@@ -65,8 +64,7 @@
     """Targets whose agents don't report them as healthy: the input of the decision."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Member:
+class _Member(msgspec.Struct, kw_only=True):
     load: TargetLoad
     reachable: bool = True
     removed_at_s: float | None = None
--- a/src/samphirespring/process/document/in_force.py
+++ b/src/samphirespring/process/document/in_force.py
@@ -1,7 +1,6 @@
 """Counts the hosts that have each version of the document in force."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -29,8 +28,7 @@
     """Empty once the host reports to another source."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Entry:
+class _Entry(msgspec.Struct, frozen=True, kw_only=True):
     report: InForceReport
     expires_s: float
 
--- a/src/samphirespring/process/document/relay_tree.py
+++ b/src/samphirespring/process/document/relay_tree.py
@@ -1,8 +1,8 @@
 """Tree of hosts that relay the document; every host computes the same tree from the registry."""
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
 
+import msgspec
 import xxhash
 
 from samphirespring.process.ids import FailureDomainName, HostId
@@ -17,8 +17,7 @@
 """Number of hosts of the level above that a host watches at the same time."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Peer:
+class Peer(msgspec.Struct, frozen=True, kw_only=True):
     """A host of the same failure domain."""
 
     host: HostId
--- a/src/samphirespring/process/document/session.py
+++ b/src/samphirespring/process/document/session.py
@@ -1,6 +1,6 @@
 """Rights of the team that sends a request."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.version.access import (
     ForbiddenError,
@@ -12,8 +12,7 @@
 from samphirespring.version.ids import SectionName, TeamName
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OperatorSession:
+class OperatorSession(msgspec.Struct, frozen=True, kw_only=True):
     """The team that sends a request, with its rights at the time of the request.
 
     Attributes:
--- a/src/samphirespring/process/document/sources.py
+++ b/src/samphirespring/process/document/sources.py
@@ -1,9 +1,10 @@
 """Chooses the sources of a node's document, without those that failed recently."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from samphirespring.connection.document_link import DocumentNotice
 from samphirespring.process.document.relay_tree import Peer, choose_sources
 from samphirespring.process.ids import FailureDomainName, HostId
@@ -36,8 +37,7 @@
     PEER = "peer"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Sources:
+class Sources(msgspec.Struct, frozen=True, kw_only=True):
     """The sources to watch for a new document.
 
     Attributes:
@@ -49,8 +49,7 @@
     addresses: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReceivedNotice:
+class ReceivedNotice(msgspec.Struct, frozen=True, kw_only=True):
     """A notice with the address of its source."""
 
     address: str
--- a/src/samphirespring/process/document/store.py
+++ b/src/samphirespring/process/document/store.py
@@ -1,10 +1,10 @@
 """Holds the newest sections of a process and serves them to its peers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 import anyio
+import msgspec
 
 from samphirespring.connection.document_link import (
     DocumentNotice,
@@ -31,31 +31,27 @@
 """Age that a process reports if it had no contact with a leader since its start, in seconds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestNotice:
+class RequestNotice(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a notice of a higher version."""
 
     request: WatchDocument
     reply: ReplySlot[DocumentNotice]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestDelta:
+class RequestDelta(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the changes since a version."""
 
     request: FetchDelta
     reply: ReplySlot[DocumentDelta]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RecordInForceReport:
+class RecordInForceReport(msgspec.Struct, frozen=True, kw_only=True):
     """Delivers the report of a host below."""
 
     report: InForceReport
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RecordSourceContact:
+class RecordSourceContact(msgspec.Struct, frozen=True, kw_only=True):
     """Reports that a source replied.
 
     Attributes:
@@ -65,15 +61,13 @@
     age_s: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadReports:
+class ReadReports(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the reports of the hosts below."""
 
     reply: ReplySlot[tuple[InForceReport, ...]]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadStoreDump:
+class ReadStoreDump(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the store's state."""
 
     reply: ReplySlot["DocumentKeeperDump"]
@@ -100,8 +94,7 @@
     """Time since the last contact with a leader of the control hosts, direct or not, in seconds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Watcher:
+class _Watcher(msgspec.Struct, frozen=True, kw_only=True):
     known: DocumentStamp
     reply: ReplySlot[DocumentNotice]
     due_at_s: float
--- a/src/samphirespring/process/document/version_hint.py
+++ b/src/samphirespring/process/document/version_hint.py
@@ -1,12 +1,11 @@
 """Hint from another process that a version of the document exists."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.version.stamp import DocumentStamp
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class VersionHint:
+class VersionHint(msgspec.Struct, frozen=True, order=True):
     """Says that a version exists; hints are ordered by version.
 
     Attributes:
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -3,7 +3,8 @@
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.action_runner import ActionRunner
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
@@ -33,15 +34,13 @@
 INBOX_CAPACITY = 1_000
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UseDocument:
+class UseDocument(msgspec.Struct, frozen=True, kw_only=True):
     """Puts a version of the document in force, unless it is older than the current one."""
 
     compiled: CompiledDocument
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadFrontDump:
+class ReadFrontDump(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the front's state."""
 
     reply: ReplySlot["FrontDump"]
--- a/src/samphirespring/process/ledger/action_ledger.py
+++ b/src/samphirespring/process/ledger/action_ledger.py
@@ -1,14 +1,14 @@
 """The action ledger as the fronts use it."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ledger.claims import ClaimKey
 from samphirespring.process.ledger.commands import LedgerCommand, LedgerResult
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LedgerOutage:
+class LedgerOutage(msgspec.Struct, frozen=True, kw_only=True):
     """No control host returned a result.
 
     Attributes:
--- a/src/samphirespring/process/ledger/group_server.py
+++ b/src/samphirespring/process/ledger/group_server.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -47,16 +46,14 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServeProposal:
+class ServeProposal(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the commit of a command from a front."""
 
     request: ProposeClaim
     reply: ReplySlot[LedgerReply]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServeRead:
+class ServeRead(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the state of a claim for a front."""
 
     request: ReadClaimState
--- a/src/samphirespring/process/ledger/placement.py
+++ b/src/samphirespring/process/ledger/placement.py
@@ -3,7 +3,8 @@
 import math
 from collections import Counter
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import FailureDomainName, GroupId, RegionName, ReplicaId
 from samphirespring.process.rendezvous import hash_pair
@@ -21,8 +22,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ControlHostLocation:
+class ControlHostLocation(msgspec.Struct, frozen=True, kw_only=True):
     """Location of a control host.
 
     Attributes:
--- a/src/samphirespring/process/ledger/service.py
+++ b/src/samphirespring/process/ledger/service.py
@@ -1,7 +1,6 @@
 """Service that runs the ledger groups of one control host."""
 
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -39,8 +38,7 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LedgerTopology:
+class LedgerTopology(msgspec.Struct, frozen=True, kw_only=True):
     """The ledger groups of the fleet and the servers of those on this host; immutable.
 
     Attributes:
--- a/src/samphirespring/process/local_target.py
+++ b/src/samphirespring/process/local_target.py
@@ -1,7 +1,5 @@
 """State of one target on the agent's own host."""
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 from samphirespring.process.admission_queue import Admission, AdmissionQueue
@@ -15,8 +13,7 @@
 from samphirespring.request.states import RefusalCode
 
 
-@dataclass(slots=True, kw_only=True)
-class LocalTarget:
+class LocalTarget(msgspec.Struct, kw_only=True):
     """A target with its lease, slots and health.
 
     Attributes:
@@ -38,7 +35,7 @@
     evaluator: TargetEvaluator
     suspicion: Suspicion | None = None
     running: int = 0
-    queue: AdmissionQueue = field(default_factory=AdmissionQueue)
+    queue: AdmissionQueue = msgspec.field(default_factory=AdmissionQueue)
     withdrawn: bool = False
 
     def renew(
--- a/src/samphirespring/process/metric_exporter.py
+++ b/src/samphirespring/process/metric_exporter.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
+import msgspec
+
 from samphirespring.process.metric_messages import MetricMessage
 
 
@@ -20,3 +22,23 @@
     @abstractmethod
     def close(self) -> None:
         """Release the resources of the exporter."""
+
+
+class MetricsText(msgspec.Struct, frozen=True, kw_only=True):
+    """All metrics of a process as text.
+
+    Attributes:
+        content_type: Media type of the text.
+        body: The text; empty if the process doesn't keep its metrics as text.
+    """
+
+    content_type: str = "text/plain"
+    body: bytes = b""
+
+
+class TextRenderer(MetricExporter):
+    """Exporter that keeps the metrics as text."""
+
+    @abstractmethod
+    def render(self) -> MetricsText:
+        """Return all metrics as text."""
--- a/src/samphirespring/process/metric_messages.py
+++ b/src/samphirespring/process/metric_messages.py
@@ -1,12 +1,11 @@
 """Messages to the task that owns the process's metrics."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.process.metric_names import Counter, Gauge, Timing
 
 
-@dataclass(frozen=True, slots=True)
-class AddToCounter:
+class AddToCounter(msgspec.Struct, frozen=True):
     """Adds to a counter.
 
     Attributes:
@@ -20,8 +19,7 @@
     amount: int
 
 
-@dataclass(frozen=True, slots=True)
-class SetGauge:
+class SetGauge(msgspec.Struct, frozen=True):
     """Sets a gauge.
 
     Attributes:
@@ -35,8 +33,7 @@
     value: float
 
 
-@dataclass(frozen=True, slots=True)
-class RecordDuration:
+class RecordDuration(msgspec.Struct, frozen=True):
     """Records one duration.
 
     Attributes:
--- a/src/samphirespring/process/metric_summary.py
+++ b/src/samphirespring/process/metric_summary.py
@@ -2,7 +2,8 @@
 
 import random
 from collections import Counter as Tally
-from dataclasses import dataclass, field
+
+import msgspec
 
 from samphirespring.process.metric_messages import (
     AddToCounter,
@@ -16,8 +17,7 @@
 """Largest number of durations sent for one metric and interval; a random sample of more."""
 
 
-@dataclass(slots=True)
-class DurationSample:
+class DurationSample(msgspec.Struct):
     """A uniform random sample of the durations of one metric (reservoir sampling).
 
     Attributes:
@@ -25,7 +25,7 @@
         observed_count: Number of durations from which the sample was drawn.
     """
 
-    durations_s: list[float] = field(default_factory=list)
+    durations_s: list[float] = msgspec.field(default_factory=list)
     observed_count: int = 0
 
     def add(self, duration_s: float, *, generator: random.Random) -> None:
--- a/src/samphirespring/process/metrics.py
+++ b/src/samphirespring/process/metrics.py
@@ -1,14 +1,13 @@
 """Metrics of the process, which are exported once per interval."""
 
-import random
 from abc import abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 
 from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask
-from samphirespring.process.metric_exporter import MetricExporter
+from samphirespring.process.metric_exporter import MetricExporter, MetricsText, TextRenderer
 from samphirespring.process.metric_messages import (
     AddToCounter,
     MetricMessage,
@@ -16,10 +15,7 @@
     SetGauge,
 )
 from samphirespring.process.metric_names import Counter, Gauge, Timing
-from samphirespring.process.settings import StatsdSettings
-from samphirespring.process.statsd_exporter import StatsdExporter
 from samphirespring.process.tasks import OwnerTask, StateDump
-from samphirespring.process.text_exporter import TextExporter
 from samphirespring.process.timers import TimerService
 
 EXPORT_INTERVAL_S = 1.0
@@ -47,9 +43,9 @@
         """Name in dumps and logs."""
         return "metrics"
 
-    async def read_text(self) -> bytes:
+    async def read_text(self) -> MetricsText:
         """Return all metrics as text; empty if the process doesn't keep them as text."""
-        return b""
+        return MetricsText()
 
     @abstractmethod
     def count(self, name: Counter, *label_values: str, amount: int = 1) -> None:
@@ -81,11 +77,10 @@
         """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadMetricsText:
+class ReadMetricsText(msgspec.Struct, frozen=True, kw_only=True):
     """Requests all metrics as text."""
 
-    reply: ReplySlot[bytes]
+    reply: ReplySlot[MetricsText]
 
 
 class ExportedMetrics(Metrics):
@@ -102,7 +97,7 @@
         exporters: Sequence[MetricExporter],
         *,
         timers: TimerService,
-        text: TextExporter | None = None,
+        text: TextRenderer | None = None,
     ) -> None:
         self._inbox: Mailbox[MetricMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._read_requests: Mailbox[ReadMetricsText] = Mailbox(
@@ -130,7 +125,7 @@
         """Return how many metric messages were exported and dropped."""
         return MetricsDump(sent=self._sent, lost=self._lost)
 
-    async def read_text(self) -> bytes:
+    async def read_text(self) -> MetricsText:
         """Return all metrics as text."""
         return await ask(self._read_requests, lambda reply: ReadMetricsText(reply=reply))
 
@@ -157,7 +152,7 @@
         while True:
             request = await self._read_requests.receive()
             self._export()
-            request.reply.send(b"" if self._text is None else self._text.render())
+            request.reply.send(MetricsText() if self._text is None else self._text.render())
 
     def _export(self) -> None:
         messages = self._inbox.receive_waiting()
@@ -185,27 +180,3 @@
 
     def record_duration(self, name: Timing, duration_s: float) -> None:
         """Drop the duration."""
-
-
-def make_metrics(
-    statsd: StatsdSettings | None,
-    *,
-    as_text: bool,
-    timers: TimerService,
-    generator: random.Random,
-) -> Metrics:
-    """Return the metrics task for the given settings.
-
-    Args:
-        statsd: Address and prefix of a statsd server; None sends no metrics.
-        as_text: Whether to keep the metrics as text.
-        timers: The timer service.
-        generator: Source of random numbers.
-    """
-    text = TextExporter() if as_text else None
-    exporters: list[MetricExporter] = [] if text is None else [text]
-    if statsd is not None:
-        exporters.append(StatsdExporter(statsd, generator=generator))
-    if not exporters:
-        return NullMetrics()
-    return ExportedMetrics(exporters, timers=timers, text=text)
--- a/src/samphirespring/process/operation/explanation.py
+++ b/src/samphirespring/process/operation/explanation.py
@@ -1,7 +1,6 @@
 """Explains one request from collected logs: its attempts and the state changes around them."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from pathlib import Path
 from typing import Any
@@ -49,8 +48,7 @@
     details: dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _ContextFilter:
+class _ContextFilter(msgspec.Struct, frozen=True, kw_only=True):
     """Selects the log lines about state changes that concern a request.
 
     Attributes:
--- a/src/samphirespring/process/operation/session.py
+++ b/src/samphirespring/process/operation/session.py
@@ -4,7 +4,6 @@
 import ssl
 import sys
 from collections.abc import Iterable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -20,8 +19,7 @@
 from samphirespring.process.timers import MonotonicTimerService
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CommandSession:
+class CommandSession(msgspec.Struct, frozen=True, kw_only=True):
     """Command-line options that apply to every command.
 
     Attributes:
--- a/src/samphirespring/process/path_prober.py
+++ b/src/samphirespring/process/path_prober.py
@@ -1,7 +1,5 @@
 """Probes paths to hosts that may be unreachable, independently of the targets on them."""
 
-from dataclasses import dataclass
-
 import anyio
 import msgspec
 
@@ -34,8 +32,7 @@
 _log = EventLog()
 
 
-@dataclass(slots=True, kw_only=True)
-class _Probe:
+class _Probe(msgspec.Struct, kw_only=True):
     failure_count: int = 0
 
 
--- a/src/samphirespring/process/programs/__init__.py
+++ b/src/samphirespring/process/programs/__init__.py
@@ -1,1 +1,1 @@
-"""Entry points of the programs; each composes the tasks of one process."""
+"""Command lines of the programs."""
--- a/src/samphirespring/process/programs/ctl.py
+++ b/src/samphirespring/process/programs/ctl.py
@@ -3,7 +3,6 @@
 import difflib
 import sys
 import uuid
-from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 from urllib.parse import quote, urlencode
@@ -268,7 +267,7 @@
     """Print the whole state of a control host or node as JSON."""
     session: CommandSession = context.obj
     if address is not None:
-        session = replace(session, addresses=(address,))
+        session = msgspec.structs.replace(session, addresses=(address,))
     path = "/v1/dump" if host is None else f"/v1/hosts/{quote(host, safe='')}/dump"
 
     def fetch(subpath: str) -> bytes:
--- a/src/samphirespring/process/registry/leases.py
+++ b/src/samphirespring/process/registry/leases.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import HostId
 
@@ -10,8 +11,7 @@
 """Share of the hosts above which ended leases are attributed to faulty links of the leader."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ExpiryDecision:
+class ExpiryDecision(msgspec.Struct, frozen=True, kw_only=True):
     """Outcome of a check of the leases.
 
     Attributes:
--- a/src/samphirespring/process/registry/table_distribution.py
+++ b/src/samphirespring/process/registry/table_distribution.py
@@ -1,7 +1,8 @@
 """Distribution of the whole table to starting hosts, by the registry's leader or by peers."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import FailureDomainName, HostId
 
@@ -18,8 +19,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Arrival:
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
     """A host that requests its first table.
 
     Attributes:
@@ -33,8 +33,7 @@
     at_s: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TableDecision:
+class TableDecision(msgspec.Struct, frozen=True, kw_only=True):
     """Source of the table for one host.
 
     Attributes:
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -1,8 +1,7 @@
 """Sends the reports of this host and its children in the tree, and receives the changes."""
 
-from dataclasses import dataclass
-
 import anyio
+import msgspec
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
 from samphirespring.process.agent_messages import AgentMessage, ReadHostRecord
@@ -39,8 +38,7 @@
     code = ErrorCode.LINK_UNAVAILABLE
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RelayReports:
+class RelayReports(msgspec.Struct, frozen=True, kw_only=True):
     """Delivers reports of hosts below this one in the relay tree."""
 
     batch: ReportBatch
--- a/src/samphirespring/process/registry_service.py
+++ b/src/samphirespring/process/registry_service.py
@@ -1,9 +1,9 @@
 """Service for the registry on a control host."""
 
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
 from samphirespring.process.bounds import MAX_NAME_LENGTH
@@ -48,16 +48,14 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReceiveReport:
+class ReceiveReport(msgspec.Struct, frozen=True, kw_only=True):
     """Delivers the reports of some hosts."""
 
     batch: ReportBatch
     reply: ReplySlot[BatchReply]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadTable:
+class ReadTable(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the whole table."""
 
     reply: ReplySlot[RegistryDelta]
--- a/src/samphirespring/process/replay/session.py
+++ b/src/samphirespring/process/replay/session.py
@@ -2,7 +2,8 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.detection.detector import Detector
 from samphirespring.process.detection.ejections import TargetStatus
@@ -31,8 +32,7 @@
 DetectorFactory = Callable[[DetectionParameters], Detector]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Ejection:
+class Ejection(msgspec.Struct, frozen=True, kw_only=True):
     """Interval in which a target was ejected."""
 
     target: TargetId
@@ -55,8 +55,7 @@
         """
 
 
-@dataclass(slots=True, kw_only=True)
-class _ReplayedTarget:
+class _ReplayedTarget(msgspec.Struct, kw_only=True):
     health: TargetHealth
     phase: TargetPhase = TargetPhase.SERVING
     present: bool = True
--- a/src/samphirespring/process/replay/trace.py
+++ b/src/samphirespring/process/replay/trace.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
 from enum import Enum
 from typing import Annotated
 
@@ -55,8 +54,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1)]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ObservationLine:
+class ObservationLine(msgspec.Struct, frozen=True, kw_only=True):
     """Outcome of one attempt on a target."""
 
     at_s: float
@@ -65,8 +63,7 @@
     outcome: ObservedOutcome
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ProbeLine:
+class ProbeLine(msgspec.Struct, frozen=True, kw_only=True):
     """One probe of a target."""
 
     at_s: float
@@ -74,8 +71,7 @@
     result: ProbeResult
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EventLine:
+class EventLine(msgspec.Struct, frozen=True, kw_only=True):
     """One change of a target's membership."""
 
     at_s: float
@@ -83,8 +79,7 @@
     event: TargetEvent
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UnhealthyInterval:
+class UnhealthyInterval(msgspec.Struct, frozen=True, kw_only=True):
     """Label of a trace: an interval in which a target is unhealthy."""
 
     target: TargetId
@@ -95,8 +90,7 @@
 TraceLine = ObservationLine | ProbeLine | EventLine
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Trace:
+class Trace(msgspec.Struct, frozen=True, kw_only=True):
     """A whole trace."""
 
     header: TraceHeader
--- a/src/samphirespring/process/replication/context.py
+++ b/src/samphirespring/process/replication/context.py
@@ -1,9 +1,10 @@
 """Resources and settings that all replicated groups of a process share."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
+
 from samphirespring.process.ids import ReplicaId
 from samphirespring.process.metrics import Metrics
 from samphirespring.process.replication.discovery import Discovery
@@ -13,8 +14,7 @@
 from samphirespring.process.timers import TimerService
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupLimits:
+class GroupLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds of one replica.
 
     Attributes:
@@ -33,8 +33,7 @@
     retained_entries: int = 1_000
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReplicationContext:
+class ReplicationContext(msgspec.Struct, frozen=True, kw_only=True):
     """Resources and settings that all replicated groups of a process share.
 
     Attributes:
@@ -59,6 +58,6 @@
     timers: TimerService
     random: Random
     metrics: Metrics
-    timing: ReplicaTiming = field(default_factory=ReplicaTiming)
-    limits: GroupLimits = field(default_factory=GroupLimits)
+    timing: ReplicaTiming = msgspec.field(default_factory=ReplicaTiming)
+    limits: GroupLimits = msgspec.field(default_factory=GroupLimits)
     discovery: Discovery | None = None
--- a/src/samphirespring/process/replication/discovery.py
+++ b/src/samphirespring/process/replication/discovery.py
@@ -1,7 +1,8 @@
 """Finds the members of a group if the settings name only some of the control hosts."""
 
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import LogIndex, MemberId, ReplicaId
 from samphirespring.process.replication.entries import Member, Membership
@@ -13,8 +14,7 @@
 """Largest number of learners; further control hosts wait until one is promoted or removed."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Discovery:
+class Discovery(msgspec.Struct, frozen=True, kw_only=True):
     """How members are found: the hosts that form a new group, and the number of voters it grows to.
 
     Attributes:
--- a/src/samphirespring/process/replication/effects.py
+++ b/src/samphirespring/process/replication/effects.py
@@ -1,6 +1,6 @@
 """Effects: actions that a replica requests from the task that runs it."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.connection.replication_link import ReplicationEnvelope
 from samphirespring.process.ids import MemberId, PersistToken
@@ -14,8 +14,7 @@
 from samphirespring.process.replication.messages import ReplicaMessage
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Send:
+class Send(msgspec.Struct, frozen=True, kw_only=True):
     """Send a message.
 
     Attributes:
@@ -27,8 +26,7 @@
     message: ReplicaMessage
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SendSnapshotChunk:
+class SendSnapshotChunk(msgspec.Struct, frozen=True, kw_only=True):
     """Read a part of the newest snapshot and send it.
 
     Attributes:
@@ -44,8 +42,7 @@
     sent_at_s: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Persist:
+class Persist(msgspec.Struct, frozen=True, kw_only=True):
     """Write and sync state; then call `Replica.mark_persisted`.
 
     Attributes:
@@ -59,8 +56,7 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class InstallSnapshot:
+class InstallSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """Write and sync a snapshot in place of the log, and restore the state machine from it.
 
     Attributes:
@@ -74,8 +70,7 @@
     data: bytes
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Apply:
+class Apply(msgspec.Struct, frozen=True, kw_only=True):
     """Apply committed entries.
 
     Attributes:
@@ -85,8 +80,7 @@
     entries: tuple[Entry, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Post:
+class Post(msgspec.Struct, frozen=True, kw_only=True):
     """Send an envelope to a process by its link address.
 
     Attributes:
@@ -98,8 +92,7 @@
     envelope: ReplicationEnvelope
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WriteIdentity:
+class WriteIdentity(msgspec.Struct, frozen=True, kw_only=True):
     """Write and sync the identity of the data folder, before any later write.
 
     Attributes:
@@ -109,8 +102,7 @@
     identity: Identity
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FormGroup:
+class FormGroup(msgspec.Struct, frozen=True, kw_only=True):
     """Write and sync the first entry of a new group, and then reopen the files.
 
     Attributes:
--- a/src/samphirespring/process/replication/group_messages.py
+++ b/src/samphirespring/process/replication/group_messages.py
@@ -1,10 +1,11 @@
 """Messages that the task of a replicated group receives."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
+import msgspec
+
 from samphirespring.connection.replication_link import ReplicationEnvelope
 from samphirespring.process.ids import LogIndex, ReplicaId
 from samphirespring.process.mailbox import ReplySlot
@@ -14,13 +15,11 @@
 from samphirespring.process.replication.write_jobs import WriteOutcome
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TickDue:
+class TickDue(msgspec.Struct, frozen=True, kw_only=True):
     """The tick interval has elapsed."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerMessage:
+class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
     """A replication message from a peer.
 
     Attributes:
@@ -32,16 +31,14 @@
     sender_address: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ProposePayload:
+class ProposePayload(msgspec.Struct, frozen=True, kw_only=True):
     """Request to commit an encoded command."""
 
     payload: bytes
     reply: ReplySlot[Any]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConfirmLeadership:
+class ConfirmLeadership(msgspec.Struct, frozen=True, kw_only=True):
     """Request to confirm that this replica is the leader.
 
     Attributes:
@@ -54,8 +51,7 @@
     reply: ReplySlot[None]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UseSeeds:
+class UseSeeds(msgspec.Struct, frozen=True, kw_only=True):
     """Replaces the seeds: the control hosts to which a replica outside the group announces itself.
 
     Attributes:
@@ -65,8 +61,7 @@
     seeds: Mapping[ReplicaId, str]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadStateMachine:
+class ReadStateMachine(msgspec.Struct, frozen=True, kw_only=True):
     """Request to read a view of the state machine."""
 
     view: Callable[[], Any]
@@ -82,8 +77,7 @@
     REPLACE = "replace"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ChangeMembership:
+class ChangeMembership(msgspec.Struct, frozen=True, kw_only=True):
     """Request for a membership change.
 
     Attributes:
@@ -99,8 +93,7 @@
     reply: ReplySlot[Membership]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TransferLeadership:
+class TransferLeadership(msgspec.Struct, frozen=True, kw_only=True):
     """Request to the leader to transfer leadership to a caught-up voter.
 
     Attributes:
@@ -112,31 +105,27 @@
     reply: ReplySlot[ReplicaId]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadStatus:
+class ReadStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Request for the replica's status."""
 
     reply: ReplySlot[GroupStatus]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WriteDone:
+class WriteDone(msgspec.Struct, frozen=True, kw_only=True):
     """A batch of writes has been synced to disk."""
 
     session: int
     outcome: WriteOutcome
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WriteFailed:
+class WriteFailed(msgspec.Struct, frozen=True, kw_only=True):
     """A write failed; the contents of the disk are unknown."""
 
     session: int
     error: DiskFailedError
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupApplied:
+class GroupApplied(msgspec.Struct, frozen=True, kw_only=True):
     """Notifies a subscriber that the state machine has changed.
 
     Attributes:
--- a/src/samphirespring/process/replication/pending.py
+++ b/src/samphirespring/process/replication/pending.py
@@ -1,8 +1,9 @@
 """Replies that are sent once entries are committed."""
 
-from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+import msgspec
+
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.mailbox import ReplySlot
@@ -10,8 +11,7 @@
 ValueT = TypeVar("ValueT")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Pending(Generic[ValueT]):
+class _Pending(msgspec.Struct, Generic[ValueT], frozen=True, kw_only=True):
     reply: ReplySlot[ValueT]
 
 
--- a/src/samphirespring/process/replication/persistence.py
+++ b/src/samphirespring/process/replication/persistence.py
@@ -1,20 +1,19 @@
 """Tracks which writes of a replica are synced, and delays messages that depend on them."""
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.ids import LogIndex, PersistToken
 from samphirespring.process.replication.effects import Send
 
 
-@dataclass(slots=True, kw_only=True)
-class _PendingWrite:
+class _PendingWrite(msgspec.Struct, kw_only=True):
     token: PersistToken
     last_index: LogIndex
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _HeldSend:
+class _HeldSend(msgspec.Struct, frozen=True, kw_only=True):
     token: PersistToken
     send: Send
 
--- a/src/samphirespring/process/replication/progress.py
+++ b/src/samphirespring/process/replication/progress.py
@@ -1,6 +1,6 @@
 """A leader's record of the progress of one follower."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.replication.entries import LogPosition, SnapshotMark
@@ -10,8 +10,7 @@
 """Index before the first entry."""
 
 
-@dataclass(slots=True, kw_only=True)
-class FollowerProgress:
+class FollowerProgress(msgspec.Struct, kw_only=True):
     """Replication progress of one follower, as tracked by the leader.
 
     Attributes:
--- a/src/samphirespring/process/replication/records.py
+++ b/src/samphirespring/process/replication/records.py
@@ -8,8 +8,8 @@
 """
 
 import struct
-from dataclasses import dataclass
 
+import msgspec
 import xxhash
 
 from samphirespring.process.replication.errors import LogCorruptError
@@ -22,8 +22,7 @@
 """Number of zeros at the end of a file that indicates a crash before its bytes were written."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RecordScan:
+class RecordScan(msgspec.Struct, frozen=True, kw_only=True):
     """Result of scanning a file.
 
     Attributes:
@@ -37,8 +36,7 @@
     is_corrupt: bool
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Header:
+class _Header(msgspec.Struct, frozen=True, kw_only=True):
     length: int
     checksum: int
 
--- a/src/samphirespring/process/replication/replica_files.py
+++ b/src/samphirespring/process/replication/replica_files.py
@@ -1,16 +1,16 @@
 """Opens the files of one replica, including after a crash or if they are damaged."""
 
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from samphirespring.process.ids import MemberId, ReplicaId
 from samphirespring.process.replication.entries import LOG_START, Identity
 from samphirespring.process.replication.errors import LogCorruptError
 from samphirespring.process.replication.storage import GroupStorage, StoredState
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuarantinedFiles:
+class QuarantinedFiles(msgspec.Struct, frozen=True, kw_only=True):
     """Damaged files that were moved away and replaced by an empty folder.
 
     Attributes:
@@ -22,8 +22,7 @@
     kept_as: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OpenedFiles:
+class OpenedFiles(msgspec.Struct, frozen=True, kw_only=True):
     """Identity and state that a replica starts with.
 
     Attributes:
--- a/src/samphirespring/process/replication/segments.py
+++ b/src/samphirespring/process/replication/segments.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -23,14 +22,12 @@
 """Size after which the next write starts a new segment."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Segment:
+class _Segment(msgspec.Struct, kw_only=True):
     number: int
     last_index: LogIndex
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LoadedEntries:
+class LoadedEntries(msgspec.Struct, frozen=True, kw_only=True):
     """Entries loaded from the segments.
 
     Attributes:
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -1,12 +1,12 @@
 """Session of one replica: from when its files are opened until a write fails."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any, Generic
 
 import anyio
 import anyio.lowlevel
 import anyio.to_thread
+import msgspec
 
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.event_log import EventLog
@@ -74,8 +74,7 @@
     """The first membership was written; the files must be reopened."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _PendingConfirmation:
+class _PendingConfirmation(msgspec.Struct, frozen=True, kw_only=True):
     """A pending request to confirm that this replica is the leader.
 
     Attributes:
--- a/src/samphirespring/process/replication/storage.py
+++ b/src/samphirespring/process/replication/storage.py
@@ -1,7 +1,6 @@
 """Files of one replica of one group: identity, hard state, log segments and snapshot."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -38,8 +37,7 @@
 SNAPSHOT_NAME = "snapshot"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoredState:
+class StoredState(msgspec.Struct, frozen=True, kw_only=True):
     """State of a replica as loaded from disk.
 
     Attributes:
--- a/src/samphirespring/process/replication/timing.py
+++ b/src/samphirespring/process/replication/timing.py
@@ -1,11 +1,11 @@
 """Intervals and timeouts of the consensus protocol."""
 
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReplicaTiming:
+
+class ReplicaTiming(msgspec.Struct, frozen=True, kw_only=True):
     """Intervals and timeouts, all in seconds.
 
     Attributes:
--- a/src/samphirespring/process/replication/transport.py
+++ b/src/samphirespring/process/replication/transport.py
@@ -2,9 +2,9 @@
 
 import ssl
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from samphirespring.connection.link_server import LinkHandler, UploadHandler
@@ -31,8 +31,7 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OutgoingMessage:
+class OutgoingMessage(msgspec.Struct, frozen=True, kw_only=True):
     """A message to send to a peer.
 
     Attributes:
--- a/src/samphirespring/process/replication/write_jobs.py
+++ b/src/samphirespring/process/replication/write_jobs.py
@@ -1,8 +1,8 @@
 """Write jobs of one replica, and their grouping into batches with one sync."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
+import msgspec
 import xxhash
 
 from samphirespring.process.ids import LogIndex, PersistToken
@@ -16,8 +16,7 @@
 from samphirespring.process.replication.storage import GroupStorage
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WriteSnapshot:
+class WriteSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """Request to write a snapshot of this replica's state.
 
     Attributes:
@@ -32,27 +31,23 @@
     base: LogIndex
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WritesSynced:
+class WritesSynced(msgspec.Struct, frozen=True, kw_only=True):
     """A write of the replica and all earlier ones are synced."""
 
     token: PersistToken
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SnapshotWritten:
+class SnapshotWritten(msgspec.Struct, frozen=True, kw_only=True):
     """A snapshot of this replica's state is synced."""
 
     mark: SnapshotMark
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class IdentityWritten:
+class IdentityWritten(msgspec.Struct, frozen=True, kw_only=True):
     """The identity is synced."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FirstMembershipWritten:
+class FirstMembershipWritten(msgspec.Struct, frozen=True, kw_only=True):
     """A new group is formed; the files must be reopened."""
 
 
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -16,8 +15,7 @@
 """Time constant of the exponential decay of a reported load's weight, in seconds."""
 
 
-@dataclass(slots=True, kw_only=True)
-class PoolMember:
+class PoolMember(msgspec.Struct, kw_only=True):
     """One target with the front's own attempts on it.
 
     Attributes:
--- a/src/samphirespring/process/settings_watch.py
+++ b/src/samphirespring/process/settings_watch.py
@@ -3,11 +3,11 @@
 import signal
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 import anyio.to_thread
+import msgspec
 
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.event_log import EventLog
@@ -48,8 +48,7 @@
         """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WatchedFile:
+class WatchedFile(msgspec.Struct, frozen=True, kw_only=True):
     """A settings file and the reader of its seeds.
 
     Attributes:
--- a/src/samphirespring/process/target_prober.py
+++ b/src/samphirespring/process/target_prober.py
@@ -1,7 +1,6 @@
 """Probes the health endpoints of the host's targets, as evidence in addition to live responses."""
 
 import random
-from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -50,8 +49,7 @@
     latest: tuple[ProbedTargetDump, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _ProbeResult:
+class _ProbeResult(msgspec.Struct, frozen=True, kw_only=True):
     plan: ProbePlan
     succeeded: bool
     duration_s: float
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 
 import msgspec
 
@@ -49,8 +48,7 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SelectTarget:
+class SelectTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a target for an attempt; the requester posts `ReleaseTarget` when it ends."""
 
     service: ServiceName
@@ -63,75 +61,65 @@
     """Targets that refused the request because they may be faulty and others seemed better."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UpdateLoad:
+class UpdateLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Reports a target's load, which its agent sent with a response."""
 
     target: TargetId
     load: TargetLoad
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReleaseTarget:
+class ReleaseTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Reports the end of an attempt of this front on a selected target."""
 
     target: TargetId
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UseSubsetSize:
+class UseSubsetSize(msgspec.Struct, frozen=True, kw_only=True):
     """Sets how many targets of a service the front uses if the service has more."""
 
     size: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UseServicePolicies:
+class UseServicePolicies(msgspec.Struct, frozen=True, kw_only=True):
     """Applies the policies of all services."""
 
     policies: Mapping[ServiceName, ServicePolicy]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UpdatePath:
+class UpdatePath(msgspec.Struct, frozen=True, kw_only=True):
     """Reports whether this front can reach a host."""
 
     host: HostId
     reached: bool
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ProbePath:
+class ProbePath(msgspec.Struct, frozen=True, kw_only=True):
     """Requests that the path prober checks whether this front can reach a host."""
 
     host: HostId
     link_address: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ApplyDelta:
+class ApplyDelta(msgspec.Struct, frozen=True, kw_only=True):
     """Applies changes of the registry."""
 
     delta: RegistryDelta
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadTableDump:
+class ReadTableDump(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the table's state."""
 
     reply: ReplySlot["TargetTableDump"]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadTablePage:
+class ReadTablePage(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a page of one of the table's long lists."""
 
     request: PageRequest
     reply: ReplySlot[DumpPage[object]]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadPeers:
+class ReadPeers(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the hosts of one failure domain."""
 
     domain: FailureDomainName
--- a/src/samphirespring/process/timers.py
+++ b/src/samphirespring/process/timers.py
@@ -5,14 +5,13 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
-from dataclasses import dataclass
 
 import anyio
 import anyio.lowlevel
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True):
     """A tick of a subscription.
 
     Attributes:
@@ -173,7 +172,6 @@
             self._waiters.remove(waiter)
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class _Waiter:
+class _Waiter(msgspec.Struct, frozen=True, eq=False):
     due_at_s: float
     wake: Callable[[], None]
--- a/src/samphirespring/process/tls_reloader.py
+++ b/src/samphirespring/process/tls_reloader.py
@@ -2,9 +2,10 @@
 
 import ssl
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.metric_names import Counter
@@ -19,8 +20,7 @@
 _log = EventLog()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TlsContext:
+class TlsContext(msgspec.Struct, frozen=True, kw_only=True):
     """A context in use, with the files that it was loaded from."""
 
     settings: TlsSettings
--- a/src/samphirespring/process/traffic_limiter.py
+++ b/src/samphirespring/process/traffic_limiter.py
@@ -1,7 +1,6 @@
 """Rate limits of workspaces and retry budgets of services at one front."""
 
 import random
-from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -46,8 +45,7 @@
 """Separates the bucket's name from the route's; no name of a route contains it."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AdmitRequest:
+class AdmitRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Checks a request against its rate limits, and counts it for its service if admitted."""
 
     service: ServiceName
@@ -64,8 +62,7 @@
     """0.0 if the request is admitted; else the time until it would be, in seconds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AcquireRetry:
+class AcquireRetry(msgspec.Struct, frozen=True, kw_only=True):
     """Requests permission for one additional attempt."""
 
     service: ServiceName
@@ -74,23 +71,20 @@
     reply: ReplySlot[bool]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadTrafficDump:
+class ReadTrafficDump(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the limiter's state."""
 
     reply: ReplySlot["TrafficGateDump"]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadTrafficPage:
+class ReadTrafficPage(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a page of the buckets or of the retry budgets."""
 
     request: PageRequest
     reply: ReplySlot[DumpPage[object]]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UseFrontCount:
+class UseFrontCount(msgspec.Struct, frozen=True, kw_only=True):
     """Sets the number of fronts in the fleet, among which retry floors are divided."""
 
     count: int
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -1,7 +1,6 @@
 """Serves one action: performs the steps that its coordinator decides."""
 
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 
 import msgspec
 
@@ -72,8 +71,7 @@
 """Time beyond the deadline in which the agent can report a timeout itself, in seconds."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ActionContext:
+class ActionContext(msgspec.Struct, frozen=True, kw_only=True):
     """Dependencies that all actions of a front share.
 
     Attributes:
@@ -87,8 +85,7 @@
     fencer: AttemptFencer
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ActionResult:
+class ActionResult(msgspec.Struct, frozen=True, kw_only=True):
     """Result of an action at its front.
 
     Attributes:
--- a/src/samphirespring/request/action_messages.py
+++ b/src/samphirespring/request/action_messages.py
@@ -1,6 +1,6 @@
 """Steps that the coordinator of an action requests, and the events that report their results."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.process.errors import ErrorCode
 from samphirespring.process.ids import TargetId
@@ -10,22 +10,19 @@
 from samphirespring.request.states import Outcome, RefusalCode
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ChooseTarget:
+class ChooseTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Select a target and create a new attempt for it."""
 
     tried: frozenset[TargetId]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallLedger:
+class CallLedger(msgspec.Struct, frozen=True, kw_only=True):
     """Commit a command to the ledger."""
 
     command: LedgerCommand
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReadClaim:
+class ReadClaim(msgspec.Struct, frozen=True, kw_only=True):
     """Read the claim of the action.
 
     Attributes:
@@ -37,29 +34,25 @@
     any_replica: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunAttempt:
+class RunAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Dispatch the attempt that the ledger granted."""
 
     assignment: AttemptAssignment
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FenceAttempt:
+class FenceAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Request the fate of the attempt from its agent, and prevent it from starting."""
 
     assignment: AttemptAssignment
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Pause:
+class Pause(msgspec.Struct, frozen=True, kw_only=True):
     """Wait before the next step."""
 
     delay_s: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Conclude:
+class Conclude(msgspec.Struct, frozen=True, kw_only=True):
     """Report the result to the caller and end the action.
 
     Attributes:
@@ -80,27 +73,23 @@
 ActionStep = ChooseTarget | CallLedger | ReadClaim | RunAttempt | FenceAttempt | Pause | Conclude
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetChosen:
+class TargetChosen(msgspec.Struct, frozen=True, kw_only=True):
     """A target was selected for the next attempt."""
 
     assignment: AttemptAssignment
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class NoTarget:
+class NoTarget(msgspec.Struct, frozen=True, kw_only=True):
     """No target can accept the request."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LedgerReplied:
+class LedgerReplied(msgspec.Struct, frozen=True, kw_only=True):
     """The command was applied, or the claim was read."""
 
     result: LedgerResult
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LedgerFailed:
+class LedgerFailed(msgspec.Struct, frozen=True, kw_only=True):
     """The ledger did not reply.
 
     Attributes:
@@ -110,8 +99,7 @@
     uncertain: bool
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptCompleted:
+class AttemptCompleted(msgspec.Struct, frozen=True, kw_only=True):
     """The complete response was forwarded.
 
     Attributes:
@@ -123,8 +111,7 @@
     response: StoredResponse | None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptNotStarted:
+class AttemptNotStarted(msgspec.Struct, frozen=True, kw_only=True):
     """The attempt provably didn't start and never will.
 
     Attributes:
@@ -136,8 +123,7 @@
     retry_delay_s: float | None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptLost:
+class AttemptLost(msgspec.Struct, frozen=True, kw_only=True):
     """The attempt may be running or may have run, and no response will arrive.
 
     Attributes:
@@ -147,21 +133,18 @@
     ended: bool
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FateReported:
+class FateReported(msgspec.Struct, frozen=True, kw_only=True):
     """The agent reported the fate of the attempt."""
 
     fate: AttemptFate
     response: StoredResponse | None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FenceFailed:
+class FenceFailed(msgspec.Struct, frozen=True, kw_only=True):
     """The agent did not reply, so the attempt may or may not be fenced."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Resumed:
+class Resumed(msgspec.Struct, frozen=True, kw_only=True):
     """The pause ended."""
 
 
--- a/src/samphirespring/request/action_progress.py
+++ b/src/samphirespring/request/action_progress.py
@@ -1,8 +1,9 @@
 """State of an action at its front."""
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from samphirespring.process.errors import ErrorCode, InternalError
 from samphirespring.process.ids import TargetId
 from samphirespring.process.ledger.claims import AttemptAssignment, ClaimKey, StoredResponse
@@ -12,8 +13,7 @@
 from samphirespring.request.ids import AttemptId, RequestId
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ActionPlan:
+class ActionPlan(msgspec.Struct, frozen=True, kw_only=True):
     """Parameters of an action, which are fixed when it starts.
 
     Attributes:
@@ -50,8 +50,7 @@
     READING_ANY_REPLICA = "last_reading"
 
 
-@dataclass(slots=True, kw_only=True)
-class ActionProgress:
+class ActionProgress(msgspec.Struct, kw_only=True):
     """State of one action at its front.
 
     Attributes:
@@ -71,7 +70,7 @@
     place: AttemptAssignment | None = None
     replaces: AttemptId | None = None
     recorded: bool = False
-    tried: set[TargetId] = field(default_factory=set)
+    tried: set[TargetId] = msgspec.field(default_factory=set)
     failure: ErrorCode = ErrorCode.NO_TARGET
     attempt_count: int = 0
     joined: bool = False
--- a/src/samphirespring/request/context.py
+++ b/src/samphirespring/request/context.py
@@ -1,7 +1,8 @@
 """Dependencies that all exchanges of a front share."""
 
 import random
-from dataclasses import dataclass
+
+import msgspec
 
 from samphirespring.process.mailbox import Mailbox
 from samphirespring.process.metrics import Metrics
@@ -11,8 +12,7 @@
 from samphirespring.request.attempt_sender import AttemptSender
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ExchangeContext:
+class ExchangeContext(msgspec.Struct, frozen=True, kw_only=True):
     """Dependencies that all exchanges of a front share.
 
     Attributes:
--- a/src/samphirespring/request/deadline.py
+++ b/src/samphirespring/request/deadline.py
@@ -1,10 +1,9 @@
 """Deadline of a request."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Deadline:
+class Deadline(msgspec.Struct, frozen=True, kw_only=True):
     """Time by which the caller needs its response.
 
     Attributes:
--- a/src/samphirespring/request/hedge_schedule.py
+++ b/src/samphirespring/request/hedge_schedule.py
@@ -1,8 +1,9 @@
 """Decides when another attempt of a read may start in parallel with the running ones."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from samphirespring.process.detection.target_evaluator import DetectionTerms
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.request.attempt_limit import PATH_ALLOWANCE_S, compute_attempt_limit_s
@@ -23,8 +24,7 @@
     STALL = "stall"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HedgeWait:
+class HedgeWait(msgspec.Struct, frozen=True, kw_only=True):
     """Next step while no attempt has a response.
 
     Attributes:
--- a/src/samphirespring/request/limits.py
+++ b/src/samphirespring/request/limits.py
@@ -1,6 +1,6 @@
 """Rate limits that apply to a request."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.request.caller import CallerRequest
 from samphirespring.version.document import RateLimit
@@ -8,8 +8,7 @@
 from samphirespring.version.routes import CompiledDocument, Route
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestLimits:
+class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Rate limits that one front applies to one request.
 
     Attributes:
--- a/src/samphirespring/request/retry.py
+++ b/src/samphirespring/request/retry.py
@@ -1,9 +1,10 @@
 """Decides whether and when a failed or refused attempt is retried."""
 
 import random
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.request.messages import AttemptFailed, AttemptRefused
 from samphirespring.request.states import RefusalCode
@@ -55,8 +56,7 @@
     RATE_LIMIT = "rate_limit"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RetryStep:
+class RetryStep(msgspec.Struct, frozen=True, kw_only=True):
     """Next step after an attempt.
 
     Attributes:
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -8,7 +8,6 @@
 
 import random
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -55,8 +54,7 @@
 keep the risk estimates of the rest of the region up to date."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Cost:
+class _Cost(msgspec.Struct, frozen=True, kw_only=True):
     """Estimated cost of a target, and an optimistic estimate; a random number breaks ties."""
 
     value: float
--- a/src/samphirespring/request/trace.py
+++ b/src/samphirespring/request/trace.py
@@ -1,13 +1,12 @@
 """Record of the attempts of a request, for its log line."""
 
-from dataclasses import dataclass
+import msgspec
 
 from samphirespring.request.messages import AttemptRefused, AttemptResult, ResponseEnd
 from samphirespring.request.selection import Candidate
 
 
-@dataclass(slots=True, kw_only=True)
-class AttemptTrace:
+class AttemptTrace(msgspec.Struct, kw_only=True):
     """One attempt: the target as the front saw it, and the result.
 
     Attributes:
--- a/src/samphirespring/version/compilation.py
+++ b/src/samphirespring/version/compilation.py
@@ -3,7 +3,6 @@
 from array import array
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
 from itertools import islice
 from typing import TypeVar
 
@@ -56,12 +55,11 @@
     workspaces: dict[WorkspaceId, msgspec.Raw] = {}
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _CompiledSection:
+class _CompiledSection(msgspec.Struct, frozen=True, kw_only=True):
     """Parts of a compiled section that are needed to replace it in a later version."""
 
     digest: bytes
-    services: dict[ServiceName, ServicePolicy] = field(default_factory=dict)
+    services: dict[ServiceName, ServicePolicy] = msgspec.field(default_factory=dict)
     routes: tuple[RoutePolicy, ...] = ()
     workspace_keys: Sequence[int] = ()
 
--- a/src/samphirespring/version/cross_reference_index.py
+++ b/src/samphirespring/version/cross_reference_index.py
@@ -1,8 +1,9 @@
 """Index of the names that sections define and use, to validate one section against the others."""
 
-from dataclasses import dataclass, field
 from typing import NamedTuple, TypeVar
 
+import msgspec
+
 from samphirespring.version.document import RoutePolicy, TeamSection
 from samphirespring.version.ids import SectionName, ServiceName, WorkspaceId
 
@@ -19,8 +20,7 @@
     method: str
 
 
-@dataclass(slots=True)
-class _SectionNames:
+class _SectionNames(msgspec.Struct):
     services: frozenset[ServiceName]
     route_services: tuple[tuple[ServiceName, ...], ...]
     """Services of each route."""
@@ -29,14 +29,13 @@
     workspaces: frozenset[WorkspaceId]
 
 
-@dataclass(slots=True)
-class CrossReferenceIndex:
+class CrossReferenceIndex(msgspec.Struct):
     """Services, routes and workspaces of all sections, each with the section that owns it."""
 
-    _sections: dict[SectionName, _SectionNames] = field(default_factory=dict)
-    _services: dict[ServiceName, SectionName] = field(default_factory=dict)
-    _routes: dict[RouteKey, SectionName] = field(default_factory=dict)
-    _workspaces: dict[WorkspaceId, SectionName] = field(default_factory=dict)
+    _sections: dict[SectionName, _SectionNames] = msgspec.field(default_factory=dict)
+    _services: dict[ServiceName, SectionName] = msgspec.field(default_factory=dict)
+    _routes: dict[RouteKey, SectionName] = msgspec.field(default_factory=dict)
+    _workspaces: dict[WorkspaceId, SectionName] = msgspec.field(default_factory=dict)
 
     def put(self, name: SectionName, section: TeamSection) -> None:
         """Add or replace a section; a name that another section already owns stays with its owner.
--- a/tests/benchmarks/document.py
+++ b/tests/benchmarks/document.py
@@ -80,7 +80,7 @@
 
 
 def _measure_compilation(scale):
-    import samphirespring.process.programs.node  # noqa: F401 - include the memory of a node's code
+    import samphirespring.process.composition.node  # noqa: F401 - include the memory of a node's code
 
     process = psutil.Process()
     label = f"{round(ROUTES * scale)} routes, {round(WORKSPACES * scale)} workspaces"
--- a/tests/document/field_pages.py
+++ b/tests/document/field_pages.py
@@ -121,7 +121,8 @@
 def _describe(info):
     match info:
         case msgspec.inspect.Metadata():
-            return _describe(info.type)
+            title = (info.extra_json_schema or {}).get("title")
+            return title or _describe(info.type)
         case msgspec.inspect.UnionType():
             return " or ".join(_describe(option) for option in info.types)
         case msgspec.inspect.NoneType():
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -61,6 +61,16 @@
       | the text is truncated                |
       | the kind is unknown                  |
 
+  Scenario Outline: What a route's kind allows to be repeated
+    When a configuration with a route of kind "<kind>" is translated
+    Then requests of the route <may> run more than once
+
+    Examples:
+      | kind   | may     |
+      | safe   | may     |
+      | unsafe | may not |
+      | upload | may not |
+
   Scenario: Conflicting and repeated submissions by several operators
     Given a document state machine with revision 5
     When revision 7 based on 5 is submitted
--- /dev/null
+++ b/tests/features/program_start.feature
@@ -0,0 +1,16 @@
+Feature: What a process loads at its start
+  A node that is started again serves nothing until its code is loaded, and many are started at once
+  after a loss of power. Command line, terminal and exporter libraries once took half of that time.
+
+  Scenario Outline: A program on the platform loads only what it uses
+    When "<module>" is imported without the libraries that only operators' tools and tests use
+    Then at most <count> modules are loaded
+
+    Examples:
+      | module                          | count |
+      | samphirespring.platform.node    | 720   |
+      | samphirespring.platform.control | 720   |
+
+  Scenario: Metrics are encoded by their library once a collector fetches them
+    When "samphirespring.platform.node" is imported without the libraries that only operators' tools and tests use
+    Then "prometheus_client" and "samphirespring.process.prometheus_text" aren't loaded
--- a/tests/features/steps/ejections_steps.py
+++ b/tests/features/steps/ejections_steps.py
@@ -1,7 +1,7 @@
 import math
 import random
-from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 from hypothesis import given as given_random
 from hypothesis import settings
@@ -54,7 +54,8 @@
     def select(pool, floor, views, hold):
         for view in views:
             view_statuses = [
-                replace(s, reachable=s.reachable and view.random() < 0.9) for s in pool
+                msgspec.structs.replace(s, reachable=s.reachable and view.random() < 0.9)
+                for s in pool
             ]
             ejected_before = frozenset(s.target for s in view_statuses if view.random() < 0.3)
             decision = select_ejections(view_statuses, floor, ejected=ejected_before, hold=hold)
@@ -125,11 +126,11 @@
         for number in range(context.count)
     ]
     if "draining" in missing:
-        pool[-1] = replace(pool[-1], phase=TargetPhase.DRAINING)
+        pool[-1] = msgspec.structs.replace(pool[-1], phase=TargetPhase.DRAINING)
     if "expired" in missing:
-        pool[-2] = replace(pool[-2], present=False)
+        pool[-2] = msgspec.structs.replace(pool[-2], present=False)
     if "unreachable" in missing:
-        pool[-3] = replace(pool[-3], reachable=False)
+        pool[-3] = msgspec.structs.replace(pool[-3], reachable=False)
     random.Random(1).shuffle(pool)
     context.ejected = select_ejections(pool, context.floor).ejected
 
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -14,10 +14,12 @@
 from samphirespring.process.metric_messages import RecordDuration
 from samphirespring.process.metric_names import Counter, Gauge, Timing
 from samphirespring.process.metric_summary import MetricSummary
-from samphirespring.process.metrics import EXPORT_INTERVAL_S, make_metrics
+from samphirespring.process.metric_values import list_label_names
+from samphirespring.process.metrics import EXPORT_INTERVAL_S
+from samphirespring.process.metrics_setup import make_metrics
+from samphirespring.process.prometheus_text import make_text_name
 from samphirespring.process.settings import StatsdSettings
 from samphirespring.process.targets import RegistryDelta
-from samphirespring.process.text_exporter import list_label_names, make_text_name
 from samphirespring.process.timers import ManualTimerService
 
 METRICS_PORT = 20_990 + int(os.environ.get("SAMPHIRE_PORT_OFFSET", "0"))
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -11,7 +11,11 @@
 from samphirespring.platform.announcements import AnnouncementApp
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
-from samphirespring.platform.configuration import ServiceDefaults
+from samphirespring.platform.configuration import (
+    OPERATOR_SECTION,
+    ServiceDefaults,
+    translate_configuration,
+)
 from samphirespring.platform.operator_http import ConfigurationApp
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
 from samphirespring.process.agent import Agent
@@ -27,6 +31,7 @@
 from samphirespring.request.errors import DeadlineExpiredError, RefusedError
 from samphirespring.request.messages import Header, ResponseHead
 from samphirespring.request.states import Outcome
+from samphirespring.version.document import TeamSection
 from samphirespring.version.states import PriorityClass
 
 DEPLOY = Path(__file__).resolve().parents[3] / "deploy"
@@ -235,6 +240,21 @@
     return json.dumps(configuration).encode()
 
 
+@when('a configuration with a route of kind "{kind}" is translated')
+def step_translate_kind(context, kind):
+    configuration = make_configuration(6)
+    configuration["resources"][0]["spec"]["kind"] = kind
+    submission = translate_configuration(
+        json.dumps(configuration).encode(), defaults=SERVICE_DEFAULTS
+    )
+    context.section = msgspec.json.decode(submission.sections[OPERATOR_SECTION], type=TeamSection)
+
+
+@then("requests of the route {may} run more than once")
+def step_check_repeats(context, may):
+    assert context.section.routes[0].idempotent is (may == "may")
+
+
 def make_app(proposer, document_machine):
     documents = DocumentService(
         state_machine=document_machine,
