Parse HTTP with httptools on both sides of a node, and receive messages without a turn of the event loop

Cause: h11 took about half of a local request's processor time (profile: 2.5 s of 13.4 s at the callers' side, 4.8 s with httpcore at the backend servers'), the watch for leaving callers a task for each request, and every received message a turn of the event loop. Change: uvicorn's protocol for httptools with the bounds of a connection, in connection/http_protocol.py; requests that are sent ahead are read at most one read ahead, a caller's leaving reaches all of them. Connections to backend servers are our own protocol around httptools' response parser (upstream_connection, response_parser): heads, interim responses and framing without end are bounded, bytes that arrive between requests close the connection, and the pool learns how long each backend server keeps idle connections. A notice replaces the task that waited for the caller's leaving. Mailboxes hand over waiting messages at once.

--- a/src/samphirespring/connection/caller_http.py
+++ b/src/samphirespring/connection/caller_http.py
@@ -15,6 +15,7 @@
 from samphirespring.connection.http_headers import (
     IDEMPOTENCY_KEY_HEADER,
 )
+from samphirespring.connection.http_protocol import read_notice
 from samphirespring.process.errors import InternalError, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import Front
@@ -102,17 +103,9 @@
         if body is None:
             return
         request = self._dialect.make_request(request_id, scope, body, compiled)
-        failure: SamphireError | None = None
-        async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_on_disconnect, receive, group)
-            try:
-                await self._front.serve(request, writer, compiled)
-            except SamphireError as error:
-                # Raised after the task group, which would wrap it in an exception group.
-                failure = error
-            group.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
+        with anyio.CancelScope() as cancel_scope:
+            read_notice(scope).subscribe(cancel_scope.cancel)
+            await self._front.serve(request, writer, compiled)
 
     async def _read_body(self, receive: ASGIReceiveCallable, *, limit_bytes: int) -> bytes | None:
         parts: list[bytes] = []
@@ -180,11 +173,3 @@
 
     async def abort(self) -> None:
         """Leave the response incomplete: the server closes the connection when the request ends."""
-
-
-async def _cancel_on_disconnect(receive: ASGIReceiveCallable, group: anyio.abc.TaskGroup) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            group.cancel_scope.cancel()
-            return
--- a/src/samphirespring/connection/health_probe.py
+++ b/src/samphirespring/connection/health_probe.py
@@ -1,8 +1,8 @@
 """Probes of health endpoints over HTTP."""
 
+import anyio
 import httpcore
 
-from samphirespring.connection.upstream_pool import close_connection, make_connection
 from samphirespring.process.addresses import parse_address
 from samphirespring.process.health_probe import HealthProbe
 
@@ -22,14 +22,16 @@
             scheme=b"http", host=parts.host.encode(), port=parts.port, target=path.encode()
         )
         headers = [(b"host", address.encode()), *PROBE_HEADERS]
-        connection = make_connection(address)
+        origin = httpcore.Origin(scheme=b"http", host=url.host, port=parts.port)
+        connection = httpcore.AsyncHTTPConnection(origin)
         try:
             request = httpcore.Request(b"GET", url, headers=headers)
             return await _read_response(await connection.handle_async_request(request))
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException):
             return False
         finally:
-            await close_connection(connection)
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
 
 
 async def _read_response(response: httpcore.Response) -> bool:
--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -1,6 +1,5 @@
 """HTTP servers of a process, on uvicorn."""
 
-import asyncio
 import socket
 import ssl
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
@@ -8,114 +7,18 @@
 from typing import Any
 
 import anyio
-import h11
-import msgspec
 import uvicorn
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from samphirespring.connection.coalescing_transport import CoalescingTransport
-from samphirespring.connection.listener import open_listener
-from samphirespring.connection.problems import (
-    PROBLEM_CONTENT_TYPE,
-    Problem,
-    encode_problem,
+from samphirespring.connection.http_protocol import (
+    BoundedHttpConfig,
+    BoundedHttpProtocol,
+    ConnectionBounds,
 )
-from samphirespring.process.errors import ErrorCode
+from samphirespring.connection.listener import open_listener
 
 START_POLL_INTERVAL_S = 0.01
 ACCEPTED_REQUEST_TIMEOUT_S = 0.3
 """Time for a just accepted connection to send a request while the server stops, in seconds."""
-KEEPALIVE_TIMEOUT_S = 75
-DISCARD_TIMEOUT_S = 1.0
-"""How long the rest of a malformed request is read and discarded, in seconds."""
-
-
-class ConnectionBounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on the size of request heads and on the waiting times of one client connection.
-
-    Attributes:
-        header_bytes: Largest size of a request's head, in bytes.
-        header_timeout_s: Longest time in which a head arrives, in seconds; None has no limit.
-        idle_timeout_s: Longest time between two requests, in seconds.
-    """
-
-    header_bytes: int = 1 << 16
-    header_timeout_s: float | None = None
-    idle_timeout_s: float = KEEPALIVE_TIMEOUT_S
-
-
-class _Config(uvicorn.Config):
-    """Configuration whose bounds are read again for each new connection."""
-
-    read_bounds: Callable[[], ConnectionBounds] = ConnectionBounds
-
-
-class _BoundedH11Protocol(H11Protocol):
-    """Responds to malformed HTTP with an error code, and applies the bounds of each connection."""
-
-    _discarding = False
-    _header_timeout_s: float | None = None
-    _header_timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Set up a new connection with the current bounds."""
-        assert isinstance(self.config, _Config)
-        bounds = self.config.read_bounds()
-        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.header_bytes)
-        self.timeout_keep_alive = bounds.idle_timeout_s  # type: ignore[assignment]
-        self._header_timeout_s = bounds.header_timeout_s
-        super().connection_made(CoalescingTransport(transport, self.loop))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the header timer when the connection ends."""
-        self._stop_header_timer()
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        """Process received bytes; bytes after a malformed request are discarded."""
-        if self._discarding:
-            return
-        if self._header_timer is None and self.conn.their_state is h11.IDLE:
-            self._start_header_timer()
-        super().data_received(data)
-        if self.conn.their_state is not h11.IDLE:
-            self._stop_header_timer()
-
-    def _start_header_timer(self) -> None:
-        if self._header_timeout_s is not None:
-            self._header_timer = self.loop.call_later(self._header_timeout_s, self.transport.close)
-
-    def _stop_header_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
-
-    def send_400_response(self, msg: str) -> None:
-        """Respond to a malformed request with an error code, and close the connection."""
-        body = encode_problem(
-            Problem(
-                title="malformed request",
-                status=400,
-                code=ErrorCode.MALFORMED_REQUEST.value,
-                detail="the bytes aren't a valid HTTP request, or its headers are too large",
-            )
-        )
-        head = (
-            b"HTTP/1.1 400 Bad Request\r\n"
-            b"content-type: " + PROBLEM_CONTENT_TYPE + b"\r\n"
-            b"content-length: " + str(len(body)).encode() + b"\r\n"
-            b"samphire-outcome: not-run\r\n"
-            b"connection: close\r\n\r\n"
-        )
-        self.transport.write(head + body)
-        self._close_after_discarding()
-
-    def _close_after_discarding(self) -> None:
-        # Closing with unread bytes resets the connection, and the client could lose the response.
-        self._discarding = True
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        self.loop.call_later(DISCARD_TIMEOUT_S, self.transport.close)
 
 
 class _EmbeddedServer(uvicorn.Server):
@@ -224,9 +127,9 @@
         AddressUnavailableError: The address is taken or isn't one of this host.
     """
     draining_app = _DrainingApp(app)
-    config = _Config(
+    config = BoundedHttpConfig(
         draining_app,
-        http=_BoundedH11Protocol,
+        http=BoundedHttpProtocol,
         ws="none",
         lifespan="off",
         interface="asgi3",
--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -1,20 +1,19 @@
-"""HTTP client of the agent for the backend servers on its host, on httpcore."""
+"""HTTP client of the agent for the backend servers on its host."""
 
+import re
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
 
-import httpcore
-
 from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
 from samphirespring.connection.http_headers import select_end_to_end
 from samphirespring.connection.refusals import RefusalReader
-from samphirespring.connection.upstream_pool import UpstreamPool
-from samphirespring.process.addresses import parse_address
+from samphirespring.connection.response_parser import BODYLESS_STATUSES, ParsedHead
+from samphirespring.connection.upstream_connection import ConnectionBrokenError
+from samphirespring.connection.upstream_pool import ConnectFailedError, UpstreamPool
 from samphirespring.request.messages import AttemptRequest, ResponseChunk, ResponseHead
 from samphirespring.request.states import FailureKind
 
-CONNECT_TIMEOUT_S = 1.0
-BODYLESS_STATUSES = frozenset({204, 304})
+KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,\s])timeout=([0-9]{1,6})(?:$|[,\s])", re.IGNORECASE)
 
 
 class UpstreamError(Exception):
@@ -67,52 +66,52 @@
         self, request: AttemptRequest, address: str
     ) -> AsyncGenerator[ResponseHead | ResponseChunk, None]:
         head_received = False
-        http_request = self._make_request(request, address)
         try:
             async with self._pool.use(address) as connection:
-                response = await connection.handle_async_request(http_request)
                 try:
-                    head = _make_head(request, response)
-                    if not self._dialect.is_response_to(head, request):
-                        # A late response to an earlier request; since its body is unread, closing
-                        # the response closes the connection.
-                        raise UpstreamError(FailureKind.MISMATCH, started=True)
-                    yield head
-                    head_received = True
-                    async for data in response.aiter_stream():
-                        yield ResponseChunk(data=data)
-                finally:
-                    await response.aclose()
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+                    connection.begin(bodyless=request.method == b"HEAD")
+                    connection.write(self._encode_head(request), request.body)
+                    parsed = await connection.read_head()
+                except ConnectionBrokenError as error:
+                    if connection.served_count and not error.received:
+                        self._pool.record_stale(address, connection)
+                    raise
+                head = _make_head(request, parsed)
+                if not self._dialect.is_response_to(head, request):
+                    # A late response to an earlier request; with its body unread, the connection
+                    # is closed.
+                    raise UpstreamError(FailureKind.MISMATCH, started=True)
+                self._limit_idle(address, parsed)
+                yield head
+                head_received = True
+                async for data in connection.iterate_body():
+                    yield ResponseChunk(data=data)
+        except ConnectFailedError:
             raise UpstreamError(FailureKind.CONNECT, started=False) from None
-        except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException):
+        except ConnectionBrokenError:
             kind = FailureKind.CUT if head_received else FailureKind.RESET
             raise UpstreamError(kind, started=True) from None
 
-    def _make_request(self, request: AttemptRequest, address: str) -> httpcore.Request:
-        parts = parse_address(address)
-        url = httpcore.URL(
-            scheme=b"http", host=parts.host.encode(), port=parts.port, target=request.path
-        )
+    def _limit_idle(self, address: str, head: ParsedHead) -> None:
+        for name, value in head.headers:
+            match = KEEP_ALIVE_TIMEOUT.search(value) if name == b"keep-alive" else None
+            if match is not None:
+                self._pool.limit_idle(address, float(match[1]))
+
+    def _encode_head(self, request: AttemptRequest) -> bytes:
         headers = self._dialect.make_headers(request)
         if request.body or request.method not in (b"GET", b"HEAD"):
-            headers.append((b"content-length", str(len(request.body)).encode()))
-        return httpcore.Request(
-            request.method,
-            url,
-            headers=headers,
-            content=request.body or None,
-            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-        )
-
-
-def _make_head(request: AttemptRequest, response: httpcore.Response) -> ResponseHead:
-    headers = select_end_to_end(response.headers)
-    content_length = next((h.value for h in headers if h.name == b"content-length"), None)
-    bodyless = request.method == b"HEAD" or response.status in BODYLESS_STATUSES
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        lines = [b"%b %b HTTP/1.1" % (request.method, request.path)]
+        lines += [b"%b: %b" % header for header in headers]
+        return b"\r\n".join((*lines, b"", b""))
+
+
+def _make_head(request: AttemptRequest, parsed: ParsedHead) -> ResponseHead:
+    bodyless = request.method == b"HEAD" or parsed.status in BODYLESS_STATUSES
     return ResponseHead(
         attempt=request.attempt,
-        status=response.status,
-        headers=headers,
-        body_length=None if bodyless or content_length is None else int(content_length),
+        status=parsed.status,
+        headers=select_end_to_end(parsed.headers),
+        body_length=None if bodyless else parsed.body_length,
     )
--- a/src/samphirespring/connection/upstream_pool.py
+++ b/src/samphirespring/connection/upstream_pool.py
@@ -4,102 +4,142 @@
 from contextlib import asynccontextmanager
 
 import anyio
-import httpcore
+import msgspec
 
-from samphirespring.process.addresses import parse_address
+from samphirespring.connection.upstream_connection import UpstreamConnection, open_connection
+from samphirespring.process.timers import TimerService
 
-KEEPALIVE_EXPIRY_S = 4.0
-"""How long a connection is kept idle, in seconds; backend servers close theirs later."""
+CONNECT_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 4.0
+"""How long a connection is kept idle, in seconds; backend servers usually close theirs later."""
+
+MIN_IDLE_LIMIT_S = 0.2
+STALE_FACTOR = 0.5
+"""Share of the idle time after which a backend server had dropped a connection that becomes the
+new limit for its connections."""
+
+STATED_LIMIT_SHARE = 0.8
+"""Share of the idle time that a backend server states in its responses that is relied on."""
+
+
+class ConnectFailedError(Exception):
+    """No connection to the backend server could be opened, so no byte was sent."""
+
+
+class _AddressConnections(msgspec.Struct, kw_only=True):
+    """Idle connections to one address, the most recently used one last."""
+
+    idle: list[UpstreamConnection] = msgspec.field(default_factory=list)
+    idle_limit_s: float = IDLE_LIMIT_S
 
 
 class UpstreamPool:
     """Idle connections by address; the most recently used one is reused first.
 
-    The agent admits attempts into slots, so the pool needs no limit and no queue. The cost of
-    acquiring a connection doesn't grow with the number of connections.
+    The agent admits attempts into slots, so the pool needs no limit and no queue. Some backend
+    servers drop idle connections without notice: the pool learns for how long each address keeps
+    them, so that few requests are sent on a connection that is gone.
+
+    Args:
+        timers: The timer service.
     """
 
-    def __init__(self) -> None:
-        self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._connections: dict[str, _AddressConnections] = {}
 
     @property
     def idle_count(self) -> int:
         """Number of idle connections."""
-        return sum(len(connections) for connections in self._idle.values())
+        return sum(len(connections.idle) for connections in self._connections.values())
 
     @asynccontextmanager
-    async def use(self, address: str) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+    async def use(self, address: str) -> AsyncIterator[UpstreamConnection]:
         """Yield a connection for one request, and keep it if it can serve another request.
 
         Args:
             address: `IP:port` of the backend server.
+
+        Raises:
+            ConnectFailedError: No connection could be opened.
         """
-        connection = await self._pop_idle(address) or make_connection(address)
+        connection = self._pop_idle(address) or await _open(address)
         try:
             yield connection
         finally:
-            if connection.is_idle() and not _has_trailing_data(connection):
-                self._idle.setdefault(address, []).append(connection)
+            if connection.is_usable:
+                connection.idle_since_s = self._timers.read_now_s()
+                self._find(address).idle.append(connection)
             else:
-                await close_connection(connection)
+                connection.close()
+
+    def limit_idle(self, address: str, stated_s: float) -> None:
+        """Apply the idle time that a backend server stated in a response.
+
+        Args:
+            address: `IP:port` of the backend server.
+            stated_s: The stated time, in seconds.
+        """
+        connections = self._find(address)
+        limit_s = max(MIN_IDLE_LIMIT_S, STATED_LIMIT_SHARE * stated_s)
+        connections.idle_limit_s = min(connections.idle_limit_s, limit_s)
+
+    def record_stale(self, address: str, connection: UpstreamConnection) -> None:
+        """Learn from a connection that was reused and turned out to be dropped.
 
-    async def close_expired(self) -> None:
+        Args:
+            address: `IP:port` of the backend server.
+            connection: The connection.
+        """
+        idle_s = self._timers.read_now_s() - connection.idle_since_s
+        connections = self._find(address)
+        limit_s = max(MIN_IDLE_LIMIT_S, STALE_FACTOR * idle_s)
+        connections.idle_limit_s = min(connections.idle_limit_s, limit_s)
+        _close_all(connections.idle)
+
+    def close_expired(self) -> None:
         """Close the idle connections that have expired or that the backend server closed."""
-        for address, connections in tuple(self._idle.items()):
-            expired = [c for c in connections if c.has_expired()]
-            kept = [c for c in connections if c not in expired]
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
+        for address, connections in tuple(self._connections.items()):
+            expired = [c for c in connections.idle if not self._is_fresh(connections, c)]
+            connections.idle = [c for c in connections.idle if c not in expired]
             for connection in expired:
-                await close_connection(connection)
+                connection.close()
+            if not connections.idle and connections.idle_limit_s == IDLE_LIMIT_S:
+                del self._connections[address]
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all idle connections."""
-        for connections in self._idle.values():
-            for connection in connections:
-                await close_connection(connection)
-        self._idle.clear()
-
-    async def _pop_idle(self, address: str) -> httpcore.AsyncHTTPConnection | None:
-        connections = self._idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            if not connection.has_expired():
+        for connections in self._connections.values():
+            _close_all(connections.idle)
+        self._connections.clear()
+
+    def _find(self, address: str) -> _AddressConnections:
+        return self._connections.setdefault(address, _AddressConnections())
+
+    def _pop_idle(self, address: str) -> UpstreamConnection | None:
+        connections = self._connections.get(address)
+        while connections is not None and connections.idle:
+            connection = connections.idle.pop()
+            if self._is_fresh(connections, connection):
                 return connection
-            await close_connection(connection)
+            connection.close()
         return None
 
+    def _is_fresh(self, connections: _AddressConnections, connection: UpstreamConnection) -> bool:
+        idle_s = self._timers.read_now_s() - connection.idle_since_s
+        return connection.is_usable and idle_s < connections.idle_limit_s
 
-def make_connection(address: str) -> httpcore.AsyncHTTPConnection:
-    """Return a new connection, which connects with its first request.
-
-    Args:
-        address: `IP:port` of the backend server.
-    """
-    parts = parse_address(address)
-    origin = httpcore.Origin(scheme=b"http", host=parts.host.encode(), port=parts.port)
-    return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE_EXPIRY_S)
 
+async def _open(address: str) -> UpstreamConnection:
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            return await open_connection(address)
+    except OSError as error:
+        # A timeout is an `OSError`, too.
+        raise ConnectFailedError(f"{address}: {error}") from None
 
-def _has_trailing_data(connection: httpcore.AsyncHTTPConnection) -> bool:
-    """Return whether bytes were received after a complete response: they belong to no request.
 
-    Args:
-        connection: An idle connection.
-    """
-    # httpcore treats such bytes as the start of the next response, and has no public API for them.
-    inner = getattr(connection, "_connection", None)
-    state = getattr(inner, "_h11_state", None)
-    return state is not None and bool(state.trailing_data[0])
-
-
-async def close_connection(connection: httpcore.AsyncHTTPConnection) -> None:
-    """Close a connection, even while the calling task is being cancelled.
-
-    Args:
-        connection: The connection.
-    """
-    with anyio.CancelScope(shield=True):
-        await connection.aclose()
+def _close_all(idle: list[UpstreamConnection]) -> None:
+    for connection in idle:
+        connection.close()
+    idle.clear()
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -82,7 +82,7 @@
         self._agent = agent
         self._guard = guard
         self._timers = timers
-        self._pool = UpstreamPool()
+        self._pool = UpstreamPool(timers)
         self._upstream = upstream or UpstreamClient(self._pool, dialect)
         self._stalls = StallWatch(agent=agent, timers=timers)
         self._running = 0
@@ -100,8 +100,7 @@
                 group.start_soon(self._stalls.run)
                 await self._start_attempts(group)
         finally:
-            with anyio.CancelScope(shield=True):
-                await self._pool.close()
+            self._pool.close()
 
     async def dump(self) -> AttemptRunnerDump:
         """Return the runner's state at one moment."""
@@ -129,7 +128,7 @@
 
     async def _close_expired_connections(self) -> None:
         async for _ in self._timers.subscribe(interval_s=CLOSE_EXPIRED_INTERVAL_S):
-            await self._pool.close_expired()
+            self._pool.close_expired()
 
     async def _start_attempts(self, group: TaskGroup) -> None:
         while True:
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -17,7 +17,8 @@
 )
 from samphirespring.connection.fence_link import LinkAttemptFencer
 from samphirespring.connection.health_probe import HttpHealthProbe
-from samphirespring.connection.http_server import ConnectionBounds, HttpServer, serve_http
+from samphirespring.connection.http_protocol import ConnectionBounds
+from samphirespring.connection.http_server import HttpServer, serve_http
 from samphirespring.connection.ledger_link import FENCE_ATTEMPT
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.link_server import (
--- a/src/samphirespring/process/mailbox.py
+++ b/src/samphirespring/process/mailbox.py
@@ -1,16 +1,20 @@
 """Bounded inboxes for messages between tasks, and reply slots for requests."""
 
+from collections import deque
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Generic, TypeVar
 
 import anyio
+import anyio.lowlevel
 
 from samphirespring.process.errors import ErrorCode, InternalError, SamphireError
 
 MessageT = TypeVar("MessageT")
 ReplyT = TypeVar("ReplyT")
 
+BURST = 64
+"""Number of messages that a task receives before other tasks get their turn."""
+
 
 class InboxFullError(SamphireError):
     """The inbox of a task has no room for another message."""
@@ -21,6 +25,9 @@
 class Mailbox(Generic[MessageT]):
     """Bounded inbox of one task; posting to a full inbox raises an error and never waits.
 
+    Messages that are there already are received without a turn of the event loop, which would take
+    longer than handling most of them; after `BURST` of them, other tasks get their turn.
+
     Args:
         name: Owner of the inbox, for errors and dumps.
         capacity: Largest number of unread messages.
@@ -29,12 +36,16 @@
     def __init__(self, *, name: str, capacity: int) -> None:
         self.name = name
         self.capacity = capacity
-        self._send, self._receive = anyio.create_memory_object_stream[MessageT](capacity)
+        self._messages: deque[MessageT] = deque()
+        self._arrival: anyio.Event | None = None
+        """Set when a message arrives; None while the owner doesn't wait for one."""
+
+        self._received_in_turn = 0
 
     @property
     def waiting_count(self) -> int:
         """Number of unread messages."""
-        return self._send.statistics().current_buffer_used
+        return len(self._messages)
 
     def post(self, message: MessageT) -> None:
         """Append a message.
@@ -45,28 +56,42 @@
         Raises:
             InboxFullError: The inbox is full.
         """
-        try:
-            self._send.send_nowait(message)
-        except anyio.WouldBlock:
-            raise InboxFullError(f"inbox of {self.name} holds {self.capacity} messages") from None
+        if len(self._messages) >= self.capacity:
+            raise InboxFullError(f"inbox of {self.name} holds {self.capacity} messages")
+        self._messages.append(message)
+        if self._arrival is not None:
+            self._arrival.set()
 
     async def receive(self) -> MessageT:
         """Wait for the next message and return it."""
-        return await self._receive.receive()
+        await self._wait_for_message()
+        self._received_in_turn += 1
+        return self._messages.popleft()
 
     async def receive_all(self) -> list[MessageT]:
         """Wait for the next message and return it with all other unread messages."""
-        first = await self._receive.receive()
-        return [first, *self.receive_waiting()]
+        await self._wait_for_message()
+        return self.receive_waiting()
 
     def receive_waiting(self) -> list[MessageT]:
         """Return the unread messages without waiting; the list may be empty."""
-        messages: list[MessageT] = []
-        with suppress(anyio.WouldBlock):
-            while True:
-                messages.append(self._receive.receive_nowait())
+        messages = list(self._messages)
+        self._messages.clear()
         return messages
 
+    async def _wait_for_message(self) -> None:
+        if self._messages and self._received_in_turn < BURST:
+            return
+        self._received_in_turn = 0
+        if self._messages:
+            await anyio.lowlevel.checkpoint()
+        while not self._messages:
+            self._arrival = anyio.Event()
+            try:
+                await self._arrival.wait()
+            finally:
+                self._arrival = None
+
 
 class ReplySlot(Generic[ReplyT]):
     """Holds the reply or error to one request; only the first one that is sent counts."""
--- a/tests/front/stalling_pool.py
+++ b/tests/front/stalling_pool.py
@@ -24,6 +24,7 @@
     UseServicePolicies,
 )
 from samphirespring.process.targets import Locality, RegistryDelta
+from samphirespring.process.timers import MonotonicTimerService
 from samphirespring.request.messages import AttemptRequest, ResponseChunk, ResponseHead
 from samphirespring.request.selection import NearestOfTwoSelector
 from samphirespring.version.document import DetectionPolicy, ResponseCheck, ServicePolicy
@@ -42,7 +43,7 @@
     """Responds after a random latency; during a stall it accepts requests without responding."""
 
     def __init__(self, draw_latency_s):
-        super().__init__(UpstreamPool())
+        super().__init__(UpstreamPool(MonotonicTimerService()))
         self._draw_latency_s = draw_latency_s
         self._resumed = anyio.Event()
         self._resumed.set()
