--- /dev/null
+++ b/src/samphirespring/connection/attempt_channel.py
@@ -0,0 +1,63 @@
+"""Messages of the channel on which a front runs all its attempts at one agent.
+
+One pair of gRPC streams carries all attempts between two processes: opening a stream for each
+attempt took more processor time than the attempt itself. A number tells the attempts of a channel
+apart. The receiver of a body grants credit, so that one slow reader doesn't hold up the others.
+"""
+
+from typing import NewType
+
+import msgspec
+
+from samphirespring.connection.link_methods import DuplexMethod
+from samphirespring.request.messages import AttemptFrame, AttemptRequest
+
+ChannelNumber = NewType("ChannelNumber", int)
+"""Number of an attempt on its channel; grows with each attempt."""
+
+RESPONSE_CREDIT_BYTES = 262_144
+"""Bytes of a response body that an agent may send before the front grants more."""
+
+
+class OpenAttempt(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="open"):
+    """Requests that the agent runs an attempt."""
+
+    number: ChannelNumber
+    request: AttemptRequest
+
+
+class SendBody(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="body"):
+    """Part of the body of a request that didn't fit into `OpenAttempt`."""
+
+    number: ChannelNumber
+    data: bytes
+    is_last: bool
+
+
+class GrantCredit(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="credit"):
+    """Lets the receiver of the message send more of the body that it sends."""
+
+    number: ChannelNumber
+    size_bytes: int
+
+
+class CancelAttempt(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="cancel"):
+    """Ends an attempt whose result nobody waits for; an action that has started goes on."""
+
+    number: ChannelNumber
+
+
+class AttemptFrames(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="frames"):
+    """Consecutive frames of one attempt."""
+
+    number: ChannelNumber
+    frames: tuple[AttemptFrame, ...]
+
+
+ToAgent = OpenAttempt | SendBody | GrantCredit | CancelAttempt
+ToFront = AttemptFrames | GrantCredit
+
+RUN_ATTEMPTS: DuplexMethod[ToAgent, ToFront] = DuplexMethod(
+    path="/samphire.Agent/RunAttempts", request_type=ToAgent, reply_type=ToFront
+)
+"""Opens a channel."""
--- a/src/samphirespring/connection/caller_dialect.py
+++ b/src/samphirespring/connection/caller_dialect.py
@@ -23,6 +23,7 @@
     make_problem,
 )
 from samphirespring.process.errors import SamphireError
+from samphirespring.request.body import RequestBody
 from samphirespring.request.caller import CallerRequest, ResponseMetadata
 from samphirespring.request.errors import (
     DeadlineExpiredError,
@@ -60,14 +61,18 @@
 
     @abstractmethod
     def make_request(
-        self, request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
+        self,
+        request_id: RequestId,
+        scope: Any,
+        body: RequestBody,
+        compiled: CompiledDocument | None,
     ) -> CallerRequest:
         """Return the request as the front's type.
 
         Args:
             request_id: Id of the request.
             scope: The ASGI scope.
-            body: The whole body.
+            body: Its body.
             compiled: The document in force.
 
         Raises:
@@ -118,7 +123,11 @@
         return RequestId(uuid.uuid4().hex)
 
     def make_request(
-        self, request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
+        self,
+        request_id: RequestId,
+        scope: Any,
+        body: RequestBody,
+        compiled: CompiledDocument | None,
     ) -> CallerRequest:
         """Return the request as the front's type."""
         headers = select_end_to_end(scope["headers"])
@@ -163,7 +172,7 @@
 def read_caller_request(
     request_id: RequestId,
     scope: Any,
-    body: bytes,
+    body: RequestBody,
     *,
     headers: tuple[Header, ...],
     deadline_header: bytes,
@@ -175,7 +184,7 @@
     Args:
         request_id: Id of the request.
         scope: The ASGI scope.
-        body: The whole body.
+        body: Its body.
         headers: The headers to forward.
         deadline_header: Header with the remaining time.
         workspace: The workspace that the request belongs to.
--- a/src/samphirespring/connection/caller_http.py
+++ b/src/samphirespring/connection/caller_http.py
@@ -7,6 +7,7 @@
 import anyio
 from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
 
+from samphirespring.connection.caller_body import CallerBodyReader
 from samphirespring.connection.caller_dialect import (
     CallerDialect,
     HttpResponseHead,
@@ -24,12 +25,12 @@
 from samphirespring.request.caller import ResponseMetadata, ResponseWriter
 from samphirespring.request.earlier_requests import account_for_earlier_requests
 from samphirespring.request.errors import (
-    BodyTooLargeError,
     OverloadedError,
     RequestError,
 )
 from samphirespring.request.ids import RequestId
 from samphirespring.request.messages import Header
+from samphirespring.version.document import FleetSection
 
 OVERLOAD_RETRY_AFTER_S = 1
 
@@ -96,10 +97,13 @@
         writer: "_HttpAnswerWriter",
     ) -> None:
         compiled = self._front.read_document()
-        limit_bytes = self._limits.body_bytes
-        if compiled is not None:
-            limit_bytes = min(limit_bytes, compiled.fleet.caller_connections.body_bytes)
-        body = await self._read_body(receive, limit_bytes=limit_bytes)
+        fleet = FleetSection() if compiled is None else compiled.fleet
+        policy = fleet.caller_connections
+        limit_bytes = min(self._limits.body_bytes, policy.body_bytes)
+        reader = CallerBodyReader(
+            receive, limit_bytes=limit_bytes, part_timeout_s=policy.idle_timeout_ms / 1_000
+        )
+        body = await reader.read(length=_read_length(scope["headers"]))
         if body is None:
             return
         request = self._dialect.make_request(request_id, scope, body, compiled)
@@ -107,19 +111,12 @@
             read_notice(scope).subscribe(cancel_scope.cancel)
             await self._front.serve(request, writer, compiled)
 
-    async def _read_body(self, receive: ASGIReceiveCallable, *, limit_bytes: int) -> bytes | None:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] != "http.request":
-                return None
-            parts.append(message.get("body", b""))
-            size += len(parts[-1])
-            if size > limit_bytes:
-                raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes")
-            if not message.get("more_body", False):
-                return b"".join(parts)
+
+def _read_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
 
 
 class _HttpAnswerWriter(ResponseWriter):
--- /dev/null
+++ b/src/samphirespring/connection/channel_server.py
@@ -0,0 +1,188 @@
+"""Agent's end of an attempt channel."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import msgspec
+
+from samphirespring.connection.attempt_channel import (
+    RESPONSE_CREDIT_BYTES,
+    AttemptFrames,
+    CancelAttempt,
+    ChannelNumber,
+    GrantCredit,
+    OpenAttempt,
+    SendBody,
+    ToAgent,
+    ToFront,
+)
+from samphirespring.connection.channel_body import ChannelBody
+from samphirespring.connection.credit import Credit
+from samphirespring.connection.link_errors import LinkUnavailableError
+from samphirespring.process.mailbox import InboxFullError, Mailbox
+from samphirespring.request.attempt_starter import AttemptHandle, AttemptStarter
+from samphirespring.request.frame_sink import FrameSink
+from samphirespring.request.messages import (
+    AttemptRefused,
+    FrameBatch,
+    ResponseChunk,
+)
+from samphirespring.request.states import RefusalCode
+
+OUTBOX_CAPACITY = 100_000
+UNLIMITED_BYTES = 1 << 62
+
+
+class _OpenedAttempt(msgspec.Struct, kw_only=True, eq=False):
+    """An attempt whose last frame hasn't been sent.
+
+    Attributes:
+        credit: How much more of the response the front accepts.
+        body: Rest of the request's body; None if the request came with its whole body.
+        handle: Cancels the attempt.
+    """
+
+    credit: Credit
+    body: ChannelBody | None
+    handle: AttemptHandle
+
+
+class AttemptChannelServer:
+    """Serves the channels of all fronts.
+
+    Args:
+        starter: Starts attempts.
+    """
+
+    def __init__(self, starter: AttemptStarter) -> None:
+        self._starter = starter
+
+    async def serve(
+        self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
+    ) -> None:
+        """Serve one channel until the front closes it; its attempts end with it.
+
+        Args:
+            messages: Messages of the front.
+            send: Sends a message to the front; waits while the front reads slowly.
+        """
+        channel = _ServedChannel(self._starter)
+        await channel.serve(messages, send)
+
+
+class _ServedChannel:
+    """State of one channel."""
+
+    def __init__(self, starter: AttemptStarter) -> None:
+        self._starter = starter
+        self._attempts: dict[ChannelNumber, _OpenedAttempt] = {}
+        self._outbox: Mailbox[ToFront] = Mailbox(name="attempt_channel", capacity=OUTBOX_CAPACITY)
+
+    async def serve(
+        self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
+    ) -> None:
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_all, send)
+                async for message in messages:
+                    self._handle(message)
+                group.cancel_scope.cancel()
+        finally:
+            for attempt in self._attempts.values():
+                _end(attempt)
+
+    async def _send_all(self, send: Callable[[ToFront], Awaitable[None]]) -> None:
+        while True:
+            message = await self._outbox.receive()
+            try:
+                await send(message)
+            except LinkUnavailableError:
+                # The messages of the front end, too, which ends the channel.
+                return
+
+    def _handle(self, message: ToAgent) -> None:
+        match message:
+            case OpenAttempt():
+                self._open(message)
+            case SendBody():
+                attempt = self._attempts.get(message.number)
+                if attempt is not None and attempt.body is not None:
+                    attempt.body.add(message.data, is_last=message.is_last)
+            case GrantCredit():
+                attempt = self._attempts.get(message.number)
+                if attempt is not None:
+                    attempt.credit.grant(message.size_bytes)
+            case CancelAttempt():
+                attempt = self._attempts.pop(message.number, None)
+                if attempt is not None:
+                    _end(attempt)
+
+    def _open(self, message: OpenAttempt) -> None:
+        number = message.number
+        credit = Credit(RESPONSE_CREDIT_BYTES)
+        body = None
+        if message.request.body_follows:
+            body = ChannelBody(
+                lambda size_bytes: self._post(GrantCredit(number=number, size_bytes=size_bytes))
+            )
+        sink = _ChannelSink(number, credit, post=self._post, forget=self._forget)
+        try:
+            handle = self._starter.start(message.request, body=body, sink=sink)
+        except InboxFullError:
+            refusal = AttemptRefused(attempt=message.request.attempt, code=RefusalCode.SHEDDING)
+            self._post(AttemptFrames(number=number, frames=(refusal,)))
+            return
+        self._attempts[number] = _OpenedAttempt(credit=credit, body=body, handle=handle)
+
+    def _post(self, message: ToFront) -> None:
+        try:
+            self._outbox.post(message)
+        except InboxFullError:
+            # The front doesn't read any more; its link is about to break.
+            return
+
+    def _forget(self, number: ChannelNumber) -> None:
+        self._attempts.pop(number, None)
+
+
+class _ChannelSink(FrameSink):
+    """Sends the frames of one attempt as far as the front's credit allows.
+
+    Args:
+        number: Number of the attempt.
+        credit: The credit for the response's body.
+        post: Appends a message to the channel's outbox.
+        forget: Drops the attempt.
+    """
+
+    def __init__(
+        self,
+        number: ChannelNumber,
+        credit: Credit,
+        *,
+        post: Callable[[ToFront], None],
+        forget: Callable[[ChannelNumber], None],
+    ) -> None:
+        self._number = number
+        self._credit = credit
+        self._post = post
+        self._forget = forget
+
+    async def send(self, batch: FrameBatch) -> None:
+        """Append a batch to the outbox."""
+        size_bytes = sum(len(f.data) for f in batch.frames if isinstance(f, ResponseChunk))
+        if size_bytes:
+            await self._credit.spend(size_bytes)
+        self._post(AttemptFrames(number=self._number, frames=batch.frames))
+
+    def close(self) -> None:
+        """Drop the attempt, which has ended."""
+        self._forget(self._number)
+
+
+def _end(attempt: _OpenedAttempt) -> None:
+    attempt.handle.cancel()
+    if attempt.body is not None:
+        attempt.body.abort()
+    # An action that goes on isn't held up by a front that has left.
+    attempt.credit.grant(UNLIMITED_BYTES)
--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -17,9 +17,11 @@
 from samphirespring.connection.link_errors import (
     LinkMessageInvalidError,
     LinkUnavailableError,
+    MethodUnknownError,
     RemoteError,
 )
 from samphirespring.connection.link_methods import (
+    DuplexMethod,
     ReplyT,
     RequestT,
     StreamMethod,
@@ -164,7 +166,7 @@
             LinkMessageInvalidError: A reply isn't of the declared type.
             RemoteError: The peer returned an error.
         """
-        self._check_retransmission_timeout()
+        self.check_acknowledgements()
         call = grpclib.client.UnaryStreamMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
@@ -189,14 +191,39 @@
         except GRPCError as error:
             raise _read_remote_error(error) from None
 
-    def _check_retransmission_timeout(self) -> None:
-        """Raise an error before anything is sent if the peer doesn't acknowledge packets."""
+    def check_acknowledgements(self) -> None:
+        """Raise an error before anything is sent if the peer doesn't acknowledge packets.
+
+        Raises:
+            LinkUnavailableError: The kernel waits for an acknowledgement that is overdue.
+        """
         link_socket = self._channel.link_socket
         if link_socket is not None and has_retransmission_timeout(link_socket):
             raise LinkUnavailableError(
                 f"{self.address}: the peer doesn't acknowledge packets", sent=False
             )
 
+    @asynccontextmanager
+    async def open_duplex(
+        self, method: DuplexMethod[RequestT, ReplyT]
+    ) -> "AsyncIterator[Duplex[RequestT, ReplyT]]":
+        """Yield independent streams of requests and replies; leaving resets them.
+
+        Args:
+            method: The method to call.
+
+        Raises:
+            LinkUnavailableError: The link can't be opened, or broke.
+        """
+        call = grpclib.client.StreamStreamMethod(
+            self._channel, method.path, method.request_type, method.reply_type
+        )
+        with _convert_errors(self.address):
+            async with call.open() as stream:
+                with anyio.fail_after(self._open_timeout_s):
+                    await stream.send_request()
+                yield Duplex(stream, self.address)
+
     @asynccontextmanager
     async def open_upload(
         self, method: UploadMethod[RequestT, ReplyT], *, timeout_s: float
@@ -220,6 +247,35 @@
                 yield Upload(stream, self.address)
 
 
+class Duplex(Generic[RequestT, ReplyT]):
+    """Open streams of requests and replies to one process.
+
+    Args:
+        stream: The grpclib stream.
+        address: `IP:port` of the peer.
+    """
+
+    def __init__(self, stream: "grpclib.client.Stream[RequestT, ReplyT]", address: str) -> None:
+        self._stream = stream
+        self._address = address
+
+    async def send(self, request: RequestT) -> None:
+        """Send a request; waits while the peer reads slowly.
+
+        Args:
+            request: The request.
+
+        Raises:
+            LinkUnavailableError: The link broke.
+        """
+        with _convert_errors(self._address):
+            await self._stream.send_message(request)
+
+    def iterate_replies(self) -> AsyncIterator[ReplyT]:
+        """Return an iterator over the replies; it raises the errors of a broken link."""
+        return _iterate_replies(self._stream, self._address)
+
+
 class Upload(Generic[RequestT]):
     """Open stream of requests to one process.
 
@@ -278,6 +334,8 @@
     except ValueError:
         remote_code = ErrorCode.INTERNAL
         detail = f"{error.status.name} {error.message}"
+    if error.status is Status.UNIMPLEMENTED:
+        return MethodUnknownError(detail)
     if error.status is Status.UNAVAILABLE:
         return LinkUnavailableError(detail, sent=True)
     return RemoteError(detail, remote_code=remote_code)
--- a/src/samphirespring/connection/link_errors.py
+++ b/src/samphirespring/connection/link_errors.py
@@ -18,6 +18,17 @@
         self.sent = sent
 
 
+class MethodUnknownError(LinkUnavailableError):
+    """The peer runs a version that doesn't offer the method.
+
+    Args:
+        detail: What happened.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=False)
+
+
 class LinkMessageInvalidError(SamphireError):
     """Bytes on a link aren't a valid message of the declared type."""
 
--- a/src/samphirespring/connection/link_methods.py
+++ b/src/samphirespring/connection/link_methods.py
@@ -30,5 +30,9 @@
     """One request, a stream of replies."""
 
 
+class DuplexMethod(LinkMethod[RequestT, ReplyT], frozen=True, kw_only=True):
+    """Streams of requests and of replies that are independent of each other."""
+
+
 class UploadMethod(LinkMethod[RequestT, ReplyT], frozen=True, kw_only=True):
     """A stream of requests, one reply at its end."""
--- a/src/samphirespring/connection/link_server.py
+++ b/src/samphirespring/connection/link_server.py
@@ -8,10 +8,12 @@
 
 import grpclib.server
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from samphirespring.connection.codec import MsgpackCodec
+from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.link_methods import (
+    DuplexMethod,
     LinkMethod,
     ReplyT,
     RequestT,
@@ -132,6 +134,37 @@
         await stream.send_message(await self._handle(_iterate_requests(stream)))
 
 
+class DuplexHandler(LinkHandler, Generic[RequestT, ReplyT]):
+    """Serves a method whose requests and replies are independent streams.
+
+    Args:
+        method: The method.
+        handle: Consumes the requests; it gets a function that sends one reply. When it returns, the
+            call ends. It is cancelled when the client closes the call or the link breaks.
+    """
+
+    cardinality = Cardinality.STREAM_STREAM
+
+    def __init__(
+        self,
+        method: DuplexMethod[RequestT, ReplyT],
+        handle: Callable[
+            [AsyncIterator[RequestT], Callable[[ReplyT], Awaitable[None]]], Awaitable[None]
+        ],
+    ) -> None:
+        super().__init__(method)
+        self._handle = handle
+
+    async def _serve(self, stream: "grpclib.server.Stream[Any, Any]") -> None:
+        async def send(reply: ReplyT) -> None:
+            try:
+                await stream.send_message(reply)
+            except (StreamTerminatedError, ProtocolError, OSError) as error:
+                raise LinkUnavailableError(f"the client has gone: {error}", sent=True) from None
+
+        await self._handle(_iterate_until_closed(stream), send)
+
+
 class _HandlerMap:
     """Mapping of paths to handlers in the form that grpclib expects."""
 
@@ -176,6 +209,15 @@
         yield request
 
 
+async def _iterate_until_closed(stream: "grpclib.server.Stream[Any, Any]") -> AsyncIterator[Any]:
+    """Yield the requests until the client ends them or breaks the call."""
+    try:
+        while (request := await _receive_message(stream)) is not None:
+            yield request
+    except (StreamTerminatedError, ProtocolError, OSError):
+        return
+
+
 async def _receive_message(stream: "grpclib.server.Stream[Any, Any]") -> Any:
     try:
         return await stream.recv_message()
--- a/src/samphirespring/connection/local_attempts.py
+++ b/src/samphirespring/connection/local_attempts.py
@@ -1,11 +1,14 @@
 """Sender that runs attempts for the front's own host without a link."""
 
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 
 from samphirespring.connection.attempt_link import iterate_frames
+from samphirespring.process.queued_frames import QueuedFrames
 from samphirespring.request.attempt_sender import AttemptSender
-from samphirespring.request.messages import AttemptFrame, AttemptRequest, FrameBatch
+from samphirespring.request.attempt_starter import AttemptStarter
+from samphirespring.request.body import RequestBody
+from samphirespring.request.messages import AttemptFrame, AttemptRequest
 
 
 class LocalFirstSender(AttemptSender):
@@ -13,7 +16,7 @@
 
     Args:
         own_address: `IP:port` of this process's link server.
-        handle: Runs an attempt on this host and yields its batches of frames.
+        starter: Starts attempts on this host.
         remote: Sends the other attempts.
     """
 
@@ -21,21 +24,27 @@
         self,
         *,
         own_address: str,
-        handle: Callable[[AttemptRequest], AsyncGenerator[FrameBatch, None]],
+        starter: AttemptStarter,
         remote: AttemptSender,
     ) -> None:
         self._own_address = own_address
-        self._handle = handle
+        self._starter = starter
         self._remote = remote
 
     @asynccontextmanager
     async def send(
-        self, request: AttemptRequest, *, link_address: str
+        self, request: AttemptRequest, *, body: RequestBody, link_address: str
     ) -> AsyncIterator[AsyncIterator[AttemptFrame]]:
         """Send an attempt and yield an iterator over its frames; leaving early cancels it."""
         if link_address == self._own_address:
-            async with aclosing(self._handle(request)) as batches:
-                yield iterate_frames(batches)
+            queue = QueuedFrames()
+            rest = body if request.body_follows else None
+            handle = self._starter.start(request, body=rest, sink=queue)
+            try:
+                async with aclosing(queue.iterate()) as batches:
+                    yield iterate_frames(batches)
+            finally:
+                handle.cancel()
         else:
-            async with self._remote.send(request, link_address=link_address) as frames:
+            async with self._remote.send(request, body=body, link_address=link_address) as frames:
                 yield frames
--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -1,15 +1,22 @@
 """HTTP client of the agent for the backend servers on its host."""
 
 import re
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import anyio
+
 from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
+from samphirespring.connection.body_upload import BodyUpload, make_framing_header
 from samphirespring.connection.http_headers import select_end_to_end
 from samphirespring.connection.refusals import RefusalReader
 from samphirespring.connection.response_parser import BODYLESS_STATUSES, ParsedHead
-from samphirespring.connection.upstream_connection import ConnectionBrokenError
+from samphirespring.connection.upstream_connection import (
+    ConnectionBrokenError,
+    UpstreamConnection,
+)
 from samphirespring.connection.upstream_pool import ConnectFailedError, UpstreamPool
+from samphirespring.request.body import BodySource
 from samphirespring.request.messages import AttemptRequest, ResponseChunk, ResponseHead
 from samphirespring.request.states import FailureKind
 
@@ -48,50 +55,74 @@
 
     @asynccontextmanager
     async def exchange(
-        self, request: AttemptRequest, *, address: str
+        self, request: AttemptRequest, body: BodySource | None, *, address: str
     ) -> AsyncIterator[AsyncIterator[ResponseHead | ResponseChunk]]:
         """Send a request and yield an iterator over the head and the chunks of the response.
 
+        A body that follows is sent while the response is read: a backend server may respond before
+        it has read the whole body.
+
         Args:
             request: The attempt.
+            body: Provides the request's body if it isn't part of the request.
             address: `IP:port` of the backend server.
+
+        Raises:
+            UpstreamError: No connection can be opened.
         """
-        frames = self._iterate_frames(request, address)
         try:
-            yield frames
-        finally:
-            await frames.aclose()
+            async with self._pool.use(address) as connection:
+                connection.begin(bodyless=request.method == b"HEAD")
+                upload = None if body is None else BodyUpload(connection, body, request.body_length)
+                async with _running(upload):
+                    yield self._iterate_frames(connection, request, address, upload)
+        except ConnectFailedError:
+            raise UpstreamError(FailureKind.CONNECT, started=False) from None
 
     async def _iterate_frames(
-        self, request: AttemptRequest, address: str
-    ) -> AsyncGenerator[ResponseHead | ResponseChunk, None]:
+        self,
+        connection: UpstreamConnection,
+        request: AttemptRequest,
+        address: str,
+        upload: BodyUpload | None,
+    ) -> AsyncIterator[ResponseHead | ResponseChunk]:
         head_received = False
         try:
-            async with self._pool.use(address) as connection:
-                try:
-                    connection.begin(bodyless=request.method == b"HEAD")
-                    connection.write(self._encode_head(request), request.body)
-                    parsed = await connection.read_head()
-                except ConnectionBrokenError as error:
-                    if connection.served_count and not error.received:
-                        self._pool.record_stale(address, connection)
-                    raise
-                head = _make_head(request, parsed)
-                if not self._dialect.is_response_to(head, request):
-                    # A late response to an earlier request; with its body unread, the connection
-                    # is closed.
-                    raise UpstreamError(FailureKind.MISMATCH, started=True)
-                self._limit_idle(address, parsed)
-                yield head
-                head_received = True
-                async for data in connection.iterate_body():
-                    yield ResponseChunk(data=data)
-        except ConnectFailedError:
-            raise UpstreamError(FailureKind.CONNECT, started=False) from None
+            parsed = await self._send(connection, request, address, upload)
+            head = _make_head(request, parsed)
+            if not self._dialect.is_response_to(head, request):
+                # A late response to an earlier request; with its body unread, the connection is
+                # closed.
+                raise UpstreamError(FailureKind.MISMATCH, started=True)
+            self._limit_idle(address, parsed)
+            yield head
+            head_received = True
+            async for data in connection.iterate_body():
+                yield ResponseChunk(data=data)
         except ConnectionBrokenError:
+            if upload is not None and upload.was_aborted:
+                raise UpstreamError(FailureKind.CANCELLED, started=True) from None
             kind = FailureKind.CUT if head_received else FailureKind.RESET
             raise UpstreamError(kind, started=True) from None
 
+    async def _send(
+        self,
+        connection: UpstreamConnection,
+        request: AttemptRequest,
+        address: str,
+        upload: BodyUpload | None,
+    ) -> ParsedHead:
+        """Send the request and return the head of the response."""
+        try:
+            connection.write(self._encode_head(request), request.body)
+            if upload is not None:
+                upload.begin()
+            return await connection.read_head()
+        except ConnectionBrokenError as error:
+            if connection.served_count and not error.received:
+                self._pool.record_stale(address, connection)
+            raise
+
     def _limit_idle(self, address: str, head: ParsedHead) -> None:
         for name, value in head.headers:
             match = KEEP_ALIVE_TIMEOUT.search(value) if name == b"keep-alive" else None
@@ -100,13 +131,27 @@
 
     def _encode_head(self, request: AttemptRequest) -> bytes:
         headers = self._dialect.make_headers(request)
-        if request.body or request.method not in (b"GET", b"HEAD"):
+        if request.body_follows:
+            headers.append(make_framing_header(request.body_length))
+        elif request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"content-length", b"%d" % len(request.body)))
         lines = [b"%b %b HTTP/1.1" % (request.method, request.path)]
         lines += [b"%b: %b" % header for header in headers]
         return b"\r\n".join((*lines, b"", b""))
 
 
+@asynccontextmanager
+async def _running(upload: BodyUpload | None) -> AsyncIterator[None]:
+    """Run an upload while the context is open; leaving ends it."""
+    if upload is None:
+        yield
+        return
+    async with anyio.create_task_group() as group:
+        group.start_soon(upload.run)
+        yield
+        group.cancel_scope.cancel()
+
+
 def _make_head(request: AttemptRequest, parsed: ParsedHead) -> ResponseHead:
     bodyless = request.method == b"HEAD" or parsed.status in BODYLESS_STATUSES
     return ResponseHead(
--- a/src/samphirespring/connection/upstream_connection.py
+++ b/src/samphirespring/connection/upstream_connection.py
@@ -41,9 +41,14 @@
         self._received = False
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
+        self._may_write = asyncio.Event()
+        self._may_write.set()
         self.served_count = 0
         """Number of responses that were received completely."""
 
+        self.owes_body = False
+        """Whether the rest of a request's body must be sent before anything else."""
+
         self.idle_since_s = 0.0
         """When the latest response was complete, in seconds of monotonic time; set by the pool."""
 
@@ -55,6 +60,7 @@
             and not self._transport.is_closing()
             and self._error is None
             and self._parser is None
+            and not self.owes_body
         )
 
     def close(self) -> None:
@@ -87,6 +93,10 @@
             raise self._error
         cast(asyncio.Transport, self._transport).writelines(parts)
 
+    async def drain(self) -> None:
+        """Wait until the peer has read most of what was written."""
+        await self._may_write.wait()
+
     async def read_head(self) -> ParsedHead:
         """Wait for the head of the response.
 
@@ -171,6 +181,15 @@
         """Handle the end of the connection."""
         if self._parser is None or not self._parser.is_complete:
             self._fail("the connection was reset" if exc is not None else "the connection ended")
+        self._may_write.set()
+
+    def pause_writing(self) -> None:
+        """Let the sender of a body wait, because the peer reads slowly."""
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let the sender of a body go on."""
+        self._may_write.set()
 
     def _fail(self, detail: str) -> None:
         if self._error is None:
--- a/src/samphirespring/platform/caller_dialect.py
+++ b/src/samphirespring/platform/caller_dialect.py
@@ -13,6 +13,7 @@
 from samphirespring.connection.http_headers import select_end_to_end
 from samphirespring.platform.headers import CALLER_SERVICE, DEADLINE_MS, REQUEST_ID, SEAL
 from samphirespring.process.errors import SamphireError
+from samphirespring.request.body import RequestBody
 from samphirespring.request.caller import CallerRequest, ResponseMetadata
 from samphirespring.request.errors import RequestError
 from samphirespring.request.ids import RequestId
@@ -47,7 +48,11 @@
         return RequestId(uuid.uuid4().hex)
 
     def make_request(
-        self, request_id: RequestId, scope: Any, body: bytes, compiled: CompiledDocument | None
+        self,
+        request_id: RequestId,
+        scope: Any,
+        body: RequestBody,
+        compiled: CompiledDocument | None,
     ) -> CallerRequest:
         """Return the request as the front handles it."""
         headers = select_end_to_end(scope["headers"])
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -1,12 +1,11 @@
 """Runs admitted attempts on the backend servers of the host."""
 
 from collections.abc import AsyncGenerator, Iterator
-from contextlib import contextmanager, nullcontext
+from contextlib import aclosing, closing, contextmanager, nullcontext
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
-from anyio.streams.memory import MemoryObjectSendStream
 
 from samphirespring.connection.backend_dialect import BackendDialect
 from samphirespring.connection.upstream import UpstreamClient
@@ -21,11 +20,15 @@
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.frame_batcher import FrameBatcher
 from samphirespring.process.mailbox import Mailbox, ask
+from samphirespring.process.queued_frames import QueuedFrames
 from samphirespring.process.stall_watch import AttemptWait, StallWatch
 from samphirespring.process.targets import TargetLoad
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 from samphirespring.request.attempt_execution import AttemptExecution
+from samphirespring.request.attempt_starter import AttemptHandle, AttemptStarter
+from samphirespring.request.body import BodySource
+from samphirespring.request.frame_sink import FrameSink
 from samphirespring.request.messages import (
     AttemptFailed,
     AttemptRefused,
@@ -37,17 +40,37 @@
 
 INBOX_CAPACITY = 10_000
 CLOSE_EXPIRED_INTERVAL_S = 10.0
-BATCH_BUFFER = 2
-"""Batches of one attempt that are buffered for a slow front."""
 
 
 class StartAttempt(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests that an attempt is run and its frames are sent."""
+    """Requests that an attempt is run and its frames are sent.
+
+    Attributes:
+        request: The attempt.
+        body: Provides the request's body if it isn't part of the request.
+        sink: Receives the frames.
+        cancel_scope: Scope of an idempotent attempt; cancelled when the front disconnects.
+    """
 
     request: AttemptRequest
-    frames: MemoryObjectSendStream[FrameBatch]
+    body: BodySource | None
+    sink: FrameSink
     cancel_scope: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
-    """Scope of an idempotent attempt; cancelled when the front disconnects."""
+
+
+class _ScopeHandle(AttemptHandle):
+    """Cancels an attempt by its scope.
+
+    Args:
+        cancel_scope: The scope.
+    """
+
+    def __init__(self, cancel_scope: anyio.CancelScope) -> None:
+        self._cancel_scope = cancel_scope
+
+    def cancel(self) -> None:
+        """Cancel the attempt if it is idempotent."""
+        self._cancel_scope.cancel()
 
 
 class AttemptRunnerDump(StateDump, frozen=True, kw_only=True):
@@ -58,7 +81,7 @@
     waiting_messages: int
 
 
-class AttemptRunner(OwnerTask):
+class AttemptRunner(OwnerTask, AttemptStarter):
     """Owns the connections to the backend servers and one child task per attempt.
 
     Args:
@@ -110,21 +133,28 @@
             waiting_messages=self.inbox.waiting_count,
         )
 
+    def start(
+        self, request: AttemptRequest, *, body: BodySource | None, sink: FrameSink
+    ) -> AttemptHandle:
+        """Start an attempt, which sends its frames to a sink and then closes the sink."""
+        message = StartAttempt(request=request, body=body, sink=sink)
+        self.inbox.post(message)
+        return _ScopeHandle(message.cancel_scope)
+
     async def handle_attempt(self, request: AttemptRequest) -> AsyncGenerator[FrameBatch, None]:
         """Run an attempt for a front and yield its frame batches; closing abandons the attempt.
 
         Args:
-            request: The attempt.
+            request: The attempt, with its whole body.
         """
-        send, receive = anyio.create_memory_object_stream[FrameBatch](BATCH_BUFFER)
-        message = StartAttempt(request=request, frames=send)
-        self.inbox.post(message)
+        queue = QueuedFrames()
+        handle = self.start(request, body=None, sink=queue)
         try:
-            async with receive:
-                async for batch in receive:
+            async with aclosing(queue.iterate()) as batches:
+                async for batch in batches:
                     yield batch
         finally:
-            message.cancel_scope.cancel()
+            handle.cancel()
 
     async def _close_expired_connections(self) -> None:
         async for _ in self._timers.subscribe(interval_s=CLOSE_EXPIRED_INTERVAL_S):
@@ -136,8 +166,8 @@
             group.start_soon(self._run_attempt, message)
 
     async def _run_attempt(self, message: StartAttempt) -> None:
-        async with message.frames:
-            batcher = FrameBatcher(message.frames)
+        with closing(message.sink):
+            batcher = FrameBatcher(message.sink)
             deadline_at_s = self._timers.read_now_s() + message.request.remaining_ms / 1_000
             admission: Admission | AttemptRefused = await ask(
                 self._agent, lambda reply: AdmitAttempt(request=message.request, reply=reply)
@@ -217,7 +247,7 @@
         cancel_scope = message.cancel_scope if request.idempotent else nullcontext()
         limit = self._timers.move_on_at(deadline_at_s)
         with self._stalls.track(wait), limit as deadline, cancel_scope:
-            await execution.run(batcher)
+            await execution.run(batcher, message.body)
         if deadline.cancelled_caught:
             execution.fail(FailureKind.TIMEOUT, started=True)
         elif not execution.ended:
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -7,9 +7,11 @@
 
 import anyio
 
-from samphirespring.connection.attempt_link import RUN_ATTEMPT, LinkAttemptSender
+from samphirespring.connection.attempt_channel import RUN_ATTEMPTS
+from samphirespring.connection.attempt_link import RUN_ATTEMPT
 from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
 from samphirespring.connection.caller_http import CallerApp
+from samphirespring.connection.channel_server import AttemptChannelServer
 from samphirespring.connection.document_link import (
     FETCH_DELTA,
     REPORT_IN_FORCE,
@@ -22,6 +24,7 @@
 from samphirespring.connection.ledger_link import FENCE_ATTEMPT
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.link_server import (
+    DuplexHandler,
     LinkHandler,
     StreamHandler,
     UnaryHandler,
@@ -37,6 +40,7 @@
 from samphirespring.process.action_runner import ActionRunner
 from samphirespring.process.agent import Agent
 from samphirespring.process.agent_messages import DrainHost
+from samphirespring.process.attempt_channels import AttemptChannels
 from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.composition.node_adapter import NodeAdapter, NodeComponents
 from samphirespring.process.control_client import ControlClient
@@ -193,11 +197,12 @@
             timers=self._timers,
             metrics=metrics,
         )
+        attempt_channels = AttemptChannels(self._link_pool, timers=self._timers)
         exchange_context = ExchangeContext(
             sender=LocalFirstSender(
                 own_address=link_address,
-                handle=self._attempt_runner.handle_attempt,
-                remote=LinkAttemptSender(self._link_pool),
+                starter=self._attempt_runner,
+                remote=attempt_channels,
             ),
             table=target_table.inbox,
             traffic_limiter=traffic_limiter.inbox,
@@ -284,6 +289,7 @@
             metrics,
             self._agent,
             self._attempt_runner,
+            attempt_channels,
             self._action_guard,
             target_prober,
             target_table,
@@ -349,6 +355,7 @@
     async def _serve_links(self) -> AsyncIterator[None]:
         handlers: list[LinkHandler] = [
             StreamHandler(RUN_ATTEMPT, self._attempt_runner.handle_attempt),
+            DuplexHandler(RUN_ATTEMPTS, AttemptChannelServer(self._attempt_runner).serve),
             UnaryHandler(PING, handle_ping),
             UnaryHandler(FENCE_ATTEMPT, self._action_guard.fence),
             UnaryHandler(WATCH_DOCUMENT, self._document_store.watch),
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -22,6 +22,7 @@
     # Caller requests.
     MALFORMED_REQUEST = "malformed_request"
     BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     NO_ROUTE = "no_route"
     NO_DOCUMENT = "no_document"
     NO_TARGET = "no_target"
--- a/src/samphirespring/process/frame_batcher.py
+++ b/src/samphirespring/process/frame_batcher.py
@@ -1,10 +1,6 @@
 """Batches the frames of one attempt, so that a short response is sent as one message."""
 
-from contextlib import suppress
-
-import anyio
-from anyio.streams.memory import MemoryObjectSendStream
-
+from samphirespring.request.frame_sink import FrameSink
 from samphirespring.request.messages import AttemptFrame, FrameBatch, ResponseChunk
 
 BATCH_BYTES = 1 << 16
@@ -12,16 +8,16 @@
 
 
 class FrameBatcher:
-    """Sends frames in batches; frames are dropped once the receiver has closed the stream.
+    """Sends frames in batches.
 
     Batching adds no delay for callers, as a front buffers the beginning of a response anyway.
 
     Args:
-        stream: Receives the batches.
+        sink: Receives the batches.
     """
 
-    def __init__(self, stream: MemoryObjectSendStream[FrameBatch]) -> None:
-        self._stream = stream
+    def __init__(self, sink: FrameSink) -> None:
+        self._sink = sink
         self._frames: list[AttemptFrame] = []
         self._buffered_bytes = 0
         self.has_sent = False
@@ -58,5 +54,4 @@
         batch = FrameBatch(frames=tuple(self._frames))
         self._frames.clear()
         self._buffered_bytes = 0
-        with suppress(anyio.BrokenResourceError):
-            await self._stream.send(batch)
+        await self._sink.send(batch)
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -14,7 +14,9 @@
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.traffic_limiter import AdmitRequest
 from samphirespring.request.action_admission import check_action
+from samphirespring.request.action_digest import compute_digest
 from samphirespring.request.action_exchange import ActionContext, ActionExchange
+from samphirespring.request.body import BodyAbortedError, WholeBody
 from samphirespring.request.caller import CallerRequest, ResponseWriter
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.earlier_requests import account_for_earlier_requests
@@ -23,6 +25,7 @@
     NoRouteError,
     RateLimitedError,
     RequestError,
+    RequestTimeoutError,
 )
 from samphirespring.request.exchange import Exchange
 from samphirespring.request.limits import find_limits
@@ -175,9 +178,16 @@
         compiled: CompiledDocument,
         writer: ResponseWriter,
     ) -> None:
+        # The digest that tells two actions with one key apart covers the whole body.
+        try:
+            body = await request.body.read_whole()
+        except BodyAbortedError as error:
+            raise RequestTimeoutError(error.detail) from None
+        request = msgspec.structs.replace(request, body=WholeBody(body))
         exchange = ActionExchange(
             self._actions,
             request=request,
+            digest=compute_digest(request, body),
             route=route,
             document_version=compiled.version,
             retention_s=compiled.fleet.ledger_retention_s,
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -15,7 +15,6 @@
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.process.traffic_limiter import AcquireRetry
 from samphirespring.request.action_coordinator import ActionCoordinator
-from samphirespring.request.action_digest import compute_digest
 from samphirespring.request.action_errors import make_action_error
 from samphirespring.request.action_messages import (
     ActionEvent,
@@ -103,6 +102,7 @@
     Args:
         context: Dependencies that all actions of the front share.
         request: The caller's request.
+        digest: Digest of the request; see `compute_digest`.
         route: Route of the request.
         document_version: Version of the document that contains the route.
         retention_s: How long the ledger keeps the outcome, in seconds.
@@ -114,6 +114,7 @@
         context: ActionContext,
         *,
         request: CallerRequest,
+        digest: bytes,
         route: Route,
         document_version: DocumentVersion,
         retention_s: int,
@@ -124,6 +125,7 @@
         # recognised as the same action.
         key = request.key or IdempotencyKey(request.request)
         self._request = msgspec.structs.replace(request, key=key)
+        self._digest = digest
         self._policy = route.policy
         self._service = route.service
         self._planner = RetryPlanner(route.policy, generator=context.exchange.generator)
@@ -225,6 +227,7 @@
         attempt = Attempt(
             self._context.exchange,
             message=message,
+            body=self._request.body,
             candidate=self._candidate,
             response=self._response,
         )
@@ -324,7 +327,7 @@
         return ActionPlan(
             key=ClaimKey(workspace=self._request.workspace, service=self._policy.service, key=key),
             key_from_caller=key_from_caller,
-            digest=compute_digest(self._request),
+            digest=self._digest,
             request=self._request.request,
             deadline_at_s=deadline.at_s,
             reserve_s=self._policy.retry.execution_reserve_ms / 1_000,
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -5,6 +5,7 @@
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.target_table import UpdateLoad
+from samphirespring.request.body import RequestBody
 from samphirespring.request.caller import CallerRequest
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.errors import RequestError, ResponseCutError
@@ -36,6 +37,7 @@
     Args:
         context: Dependencies that all exchanges of the front share.
         message: The attempt, as it is sent to the agent.
+        body: Body of the caller's request.
         candidate: The target.
         response: Writes the caller's response.
     """
@@ -45,11 +47,13 @@
         context: ExchangeContext,
         *,
         message: AttemptRequest,
+        body: RequestBody,
         candidate: Candidate,
         response: ExclusiveResponseWriter,
     ) -> None:
         self._context = context
         self._message = message
+        self._body = body
         self._candidate = candidate
         self._response = response
         self._buffer = ResponseBuffer(capacity=context.replay_buffer_bytes)
@@ -84,7 +88,7 @@
 
     async def _receive_response(self) -> AttemptResult:
         async with self._context.sender.send(
-            self._message, link_address=self._candidate.link_address
+            self._message, body=self._body, link_address=self._candidate.link_address
         ) as frames:
             async for frame in frames:
                 result = await self._handle_frame(frame)
@@ -155,6 +159,7 @@
         document_version: Version of the document that contains the route.
         remaining_ms: Time remaining until the caller's deadline, in milliseconds.
     """
+    inline = request.body.inline
     return AttemptRequest(
         request=request.request,
         attempt=make_attempt_id(),
@@ -165,7 +170,9 @@
         path=request.target,
         headers=request.headers,
         key=request.key,
-        body=request.body,
+        body=inline or b"",
+        body_follows=inline is None,
+        body_length=request.body.length,
         remaining_ms=remaining_ms,
         priority=policy.priority,
         rank=policy.rank,
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -14,6 +14,7 @@
 from samphirespring.process.stall_watch import AttemptWait
 from samphirespring.process.targets import TargetLoad
 from samphirespring.process.timers import TimerService
+from samphirespring.request.body import BodySource
 from samphirespring.request.exclusive_response_writer import REFUSAL_STATUSES
 from samphirespring.request.messages import (
     AttemptFailed,
@@ -69,15 +70,16 @@
         """Whether the response is complete or the attempt failed."""
         return self.complete or self.failure is not None
 
-    async def run(self, batcher: FrameBatcher) -> None:
+    async def run(self, batcher: FrameBatcher, body: BodySource | None) -> None:
         """Send the request and forward the response.
 
         Args:
             batcher: Receives the frames of the response.
+            body: Provides the request's body if it isn't part of the request.
         """
         try:
             async with self._upstream.exchange(
-                self._request, address=self._admission.address
+                self._request, body, address=self._admission.address
             ) as frames:
                 async for frame in frames:
                     if isinstance(frame, ResponseHead):
--- a/src/samphirespring/request/attempt_sender.py
+++ b/src/samphirespring/request/attempt_sender.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 
+from samphirespring.request.body import RequestBody
 from samphirespring.request.messages import AttemptFrame, AttemptRequest
 
 
@@ -12,7 +13,7 @@
 
     @abstractmethod
     def send(
-        self, request: AttemptRequest, *, link_address: str
+        self, request: AttemptRequest, *, body: RequestBody, link_address: str
     ) -> AbstractAsyncContextManager[AsyncIterator[AttemptFrame]]:
         """Send an attempt and return an iterator over its frames.
 
@@ -20,5 +21,6 @@
 
         Args:
             request: The attempt.
+            body: Body of the caller's request, which is sent if `request.body_follows`.
             link_address: `IP:port` of the agent's link server.
         """
--- a/src/samphirespring/request/caller.py
+++ b/src/samphirespring/request/caller.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from samphirespring.request.body import RequestBody
 from samphirespring.request.ids import IdempotencyKey, RequestId
 from samphirespring.request.messages import Header
 from samphirespring.request.states import Outcome
@@ -26,7 +27,7 @@
     """Path with query string, as it is sent to the backend server."""
 
     headers: tuple[Header, ...]
-    body: bytes
+    body: RequestBody
     deadline_ms: int | None
     """Timeout that the caller requested, in milliseconds; None to use the route's."""
 
--- a/src/samphirespring/request/errors.py
+++ b/src/samphirespring/request/errors.py
@@ -42,6 +42,13 @@
     status = 413
 
 
+class RequestTimeoutError(RequestError):
+    """The caller stopped sending its request."""
+
+    code = ErrorCode.REQUEST_TIMEOUT
+    status = 408
+
+
 class NoRouteError(RequestError):
     """No route matches the host, method and path."""
 
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -128,14 +128,14 @@
             if isinstance(result, ResponseEnd):
                 return
             step = self._planner.plan(result, remaining_ms=self._compute_remaining_ms())
-            if step.decision is not RetryDecision.RETRY:
+            if step.decision is not RetryDecision.RETRY or not self._request.body.can_replay:
                 raise make_request_error(result, policy=self._policy)
             if not _is_unbudgeted(result) and not await self._acquire_retry(self._classify(result)):
                 raise make_request_error(result, policy=self._policy)
             await self._wait(step)
 
     async def _run_round(self) -> AttemptResult:
-        if not may_run_in_parallel(self._policy):
+        if not may_run_in_parallel(self._policy) or self._request.body.inline is None:
             return await self._run_attempt()
         schedule = HedgeSchedule(self._policy)
         hedge = Hedge(
@@ -177,7 +177,11 @@
         self._response.attempt_count = self.attempt_count
         self._context.metrics.count(Counter.FRONT_ATTEMPTS)
         attempt = Attempt(
-            self._context, message=message, candidate=candidate, response=self._response
+            self._context,
+            message=message,
+            body=self._request.body,
+            candidate=candidate,
+            response=self._response,
         )
         # Until its result is known the attempt may run: cancellation doesn't prove otherwise.
         result: AttemptResult = AttemptFailed(
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -63,6 +63,12 @@
     start_by_wall_ms: int | None = None
     """For actions: latest time at which the attempt may start, in milliseconds of wall time."""
 
+    body_follows: bool = False
+    """Whether the body is sent after the agent has admitted the attempt; `body` is empty then."""
+
+    body_length: int | None = None
+    """Length of a body that follows, in bytes; None if the caller didn't declare it."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -27,6 +27,7 @@
 from samphirespring.process.replication.state_machine import LocalProposer, NotLeaderError
 from samphirespring.process.targets import Locality
 from samphirespring.process.timers import ManualTimerService
+from samphirespring.request.body import EMPTY_BODY
 from samphirespring.request.caller import ResponseMetadata
 from samphirespring.request.errors import DeadlineExpiredError, RefusedError
 from samphirespring.request.messages import Header, ResponseHead
@@ -397,7 +398,7 @@
             (b"accept", b"*/*"),
         ],
     }
-    request = PlatformCallerDialect("recipes").make_request("r-1", scope, b"", None)
+    request = PlatformCallerDialect("recipes").make_request("r-1", scope, EMPTY_BODY, None)
     assert (request.host, request.target, request.deadline_ms) == (
         "a.example",
         b"/read/1?x=%2F",
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -31,6 +31,7 @@
 from samphirespring.process.traffic_limiter import TrafficLimiter
 from samphirespring.request.action_exchange import ActionContext
 from samphirespring.request.attempt_sender import AttemptSender
+from samphirespring.request.body import EMPTY_BODY
 from samphirespring.request.caller import CallerRequest, ResponseWriter
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.errors import RequestError
@@ -94,7 +95,7 @@
         self.open = 0
 
     @asynccontextmanager
-    async def send(self, request, *, link_address):
+    async def send(self, request, *, body, link_address):
         script = self.choose_script(request)
         self.attempts[request.request] += 1
         self.open += 1
@@ -303,7 +304,7 @@
             path="/",
             target=b"/",
             headers=(),
-            body=b"",
+            body=EMPTY_BODY,
             deadline_ms=None,
             address=address,
             workspace=workspace,
--- a/tests/front/stalling_pool.py
+++ b/tests/front/stalling_pool.py
@@ -58,7 +58,7 @@
         self._resumed.set()
 
     @asynccontextmanager
-    async def exchange(self, request, *, address):
+    async def exchange(self, request, body, *, address):
         self.started += 1
         yield self._respond(request)
 
