Test responses of backend servers in trouble and attempts over a channel

Cause: the channel and the parser came without tests of their own. Conclusion: heads, interim responses, chunk extensions and trailers without end end the exchange; a copy of an earlier response never reaches the next caller.

--- a/src/samphirespring/connection/channel_client.py
+++ b/src/samphirespring/connection/channel_client.py
@@ -21,7 +21,7 @@
 )
 from samphirespring.connection.credit import Credit
 from samphirespring.connection.link_client import Duplex, Link
-from samphirespring.connection.link_errors import LinkUnavailableError
+from samphirespring.connection.link_errors import LinkUnavailableError, MethodUnknownError
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.mailbox import InboxFullError, Mailbox
 from samphirespring.request.body import BodyAbortedError, RequestBody
@@ -227,7 +227,7 @@
         if self.error is not None:
             return
         self.error = error
+        reached_agent = not isinstance(error, MethodUnknownError)
         for attempt in self._attempts.values():
-            attempt.fail(
-                LinkUnavailableError(f"{self.address}: {error.detail}", sent=attempt.was_sent)
-            )
+            sent = attempt.was_sent and reached_agent
+            attempt.fail(LinkUnavailableError(f"{self.address}: {error.detail}", sent=sent))
--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -45,6 +45,10 @@
 KEEPALIVE_PROBES = 2
 
 
+UNKNOWN_METHOD_MESSAGE = "Missing content-type header"
+"""Message of grpclib's client about a response without a content type, which its server sends for a
+method that it doesn't know; the status of that response is hidden."""
+
 TCP_INFO_PREFIX_BYTES = 8
 TCP_INFO_RETRANSMITS_OFFSET = 2
 """Offset in the kernel's `tcp_info` of the number of consecutive retransmission timeouts."""
@@ -334,8 +338,8 @@
     except ValueError:
         remote_code = ErrorCode.INTERNAL
         detail = f"{error.status.name} {error.message}"
-    if error.status is Status.UNIMPLEMENTED:
-        return MethodUnknownError(detail)
+    if error.status is Status.UNIMPLEMENTED or error.message == UNKNOWN_METHOD_MESSAGE:
+        return MethodUnknownError(f"{error.status.name} {error.message}")
     if error.status is Status.UNAVAILABLE:
         return LinkUnavailableError(detail, sent=True)
     return RemoteError(detail, remote_code=remote_code)
--- /dev/null
+++ b/tests/features/responses.feature
@@ -0,0 +1,57 @@
+Feature: Responses of backend servers in trouble
+  A backend server may send a response twice or late, break off, or send bytes that are no response,
+  without end. The next caller must get its own response, and the agent must stay within bounds.
+
+  Scenario Outline: Bytes that are no response end the exchange within a bound
+    When a backend server sends <bytes> without end
+    Then the exchange fails as "<kind>" after at most <limit> KiB
+
+    Examples:
+      | bytes                          | kind  | limit |
+      | garbage                        | reset | 256   |
+      | a status line                  | reset | 512   |
+      | one header                     | reset | 512   |
+      | many headers                   | reset | 512   |
+      | interim responses              | reset | 512   |
+      | a chunk extension              | cut   | 512   |
+      | trailers                       | cut   | 512   |
+
+  Scenario: A body without end is passed on only as fast as its reader takes it
+    When a backend server sends a body without end
+    And the reader takes 1 MiB of it and leaves
+    Then at most 2 MiB were received, and the connection is closed
+
+  Scenario Outline: A response that arrives between two requests never reaches the next caller
+    Given each response is sent <copies>
+    When two requests are sent one after the other
+    Then both get their own responses, over <connections> connections
+
+    Examples:
+      | copies                             | connections |
+      | once                               | 1           |
+      | twice at once                      | 2           |
+      | and a copy before the next request | 2           |
+      | and a copy with another id later   | 2           |
+
+  Scenario Outline: Which responses are complete
+    When a backend server sends <response> and closes the connection
+    Then the result is <result>
+
+    Examples:
+      | response                            | result                            |
+      | a body without a length             | the complete body "hello"         |
+      | a body shorter than its length      | cut                               |
+      | an unfinished chunked body          | cut                               |
+      | nothing                             | reset                             |
+      | an interim response before the head | the complete body "hello"         |
+      | two different lengths               | reset                             |
+      | a length and chunks                 | reset                             |
+
+  Scenario: A connection without a length that is reset isn't complete
+    When a backend server sends a body without a length and resets the connection
+    Then the result is cut
+
+  Scenario: Connections that a backend server drops are found out once
+    Given a backend server that drops connections without notice after 0.3 s
+    When 6 requests are sent, one every 0.45 s
+    Then at most 1 of them fails
--- /dev/null
+++ b/tests/features/steps/responses_steps.py
@@ -0,0 +1,197 @@
+import anyio
+from behave import given, then, when
+
+from front.scripted_backend import (
+    FAILURE_KINDS,
+    Agent,
+    ScriptedBackend,
+    make_response,
+    reset,
+)
+from samphirespring.platform.backend_dialect import PlatformBackendDialect
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+TIMEOUT_S = 10.0
+
+ENDLESS = {
+    "garbage": (b"", b"\x00\xff" * 2_000),
+    "a status line": (b"HTTP/1.1 200 ", b"O" * 4_000),
+    "one header": (HEAD + b"X: ", b"y" * 4_000),
+    "many headers": (HEAD, b"X: y\r\n" * 600),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "a chunk extension": (CHUNKED + b"5;", b"e" * 4_000),
+    "trailers": (CHUNKED + b"5\r\nhello\r\n0\r\n", b"X: y\r\n" * 600),
+}
+
+
+def run(context, script, call, dialect=None):
+    """Await `call(agent, backend)` while a backend server with the script runs."""
+    context.backend = ScriptedBackend(script)
+
+    async def main():
+        with anyio.fail_after(TIMEOUT_S):
+            async with context.backend.serve():
+                context.result = await call(Agent(dialect), context.backend)
+
+    anyio.run(main)
+
+
+@when("a backend server sends {name} without end")
+def step_send_without_end(context, name):
+    if name == "a body":
+        context.endless = (HEAD + b"\r\n", b"b" * 4_000)
+        return
+    beginning, repeated = ENDLESS[name]
+
+    async def script(backend, stream, _):
+        await backend.send(stream, beginning)
+        await backend.send_without_end(stream, repeated)
+
+    run(context, script, lambda agent, backend: agent.exchange(backend))
+
+
+@then('the exchange fails as "{kind}" after at most {limit:d} KiB')
+def step_check_bound(context, kind, limit):
+    assert context.result is FAILURE_KINDS[kind], context.result
+    # What the kernel's buffers hold counts, too.
+    assert context.backend.sent_bytes <= limit * 1_024, context.backend.sent_bytes
+
+
+@when("the reader takes {size:d} MiB of it and leaves")
+def step_take(context, size):
+    beginning, repeated = context.endless
+
+    async def script(backend, stream, _):
+        await backend.send(stream, beginning)
+        await backend.send_without_end(stream, repeated)
+
+    async def call(agent, backend):
+        result = await agent.exchange(backend, take_bytes=size << 20)
+        await backend.closed.wait()
+        return result
+
+    run(context, script, call)
+
+
+@then("at most {size:d} MiB were received, and the connection is closed")
+def step_check_received(context, size):
+    status, body = context.result
+    assert status == 200
+    assert len(body) <= size << 20, len(body)
+    assert context.backend.closed.is_set()
+
+
+@given("each response is sent {copies}")
+def step_send_copies(context, copies):
+    answered = []
+
+    async def script(backend, stream, head):
+        name = head.split()[1][1:]
+        # The late copy takes the place of the response to the second request.
+        is_late_copy = copies == "and a copy with another id later" and len(answered) == 1
+        answered.append(name)
+        shown = answered[0] if is_late_copy else name
+        response = make_response(b"for " + shown, request_id=shown)
+        await backend.send(stream, response * (2 if copies == "twice at once" else 1))
+        if copies == "and a copy before the next request":
+            await anyio.sleep(0.02)
+            await backend.send(stream, response)
+
+    context.copies_script = script
+
+
+@when("two requests are sent one after the other")
+def step_send_two(context):
+    async def call(agent, backend):
+        results = [await agent.exchange(backend, name=b"first")]
+        await anyio.sleep(0.1)
+        results.append(await agent.exchange(backend, name=b"second"))
+        if not isinstance(results[1], tuple):
+            # A response to another request is never passed on; a read is sent again.
+            results[1] = await agent.exchange(backend, name=b"second")
+        return results
+
+    run(context, context.copies_script, call, PlatformBackendDialect())
+
+
+@then("both get their own responses, over {count:d} connections")
+def step_check_own(context, count):
+    assert context.result == [(200, b"for first"), (200, b"for second")], context.result
+    assert context.backend.connections == count, context.backend.connections
+
+
+RESPONSES = {
+    "a body without a length": HEAD + b"\r\nhello",
+    "a body shorter than its length": HEAD + b"Content-Length: 6\r\n\r\nhello",
+    "an unfinished chunked body": CHUNKED + b"5\r\nhello\r\n",
+    "nothing": b"",
+    "an interim response before the head": b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    + HEAD
+    + b"Content-Length: 5\r\n\r\nhello",
+    "two different lengths": HEAD + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+    "a length and chunks": HEAD
+    + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+}
+
+
+@when("a backend server sends {name} and closes the connection")
+def step_send_and_close(context, name):
+    async def script(backend, stream, _):
+        await backend.send(stream, RESPONSES[name]) if RESPONSES[name] else None
+        await stream.aclose()
+
+    run(context, script, lambda agent, backend: agent.exchange(backend))
+
+
+@when("a backend server sends {name} and resets the connection")
+def step_send_and_reset(context, name):
+    async def script(backend, stream, _):
+        await backend.send(stream, RESPONSES[name])
+        await anyio.sleep(0.05)
+        reset(stream)
+        await stream.aclose()
+
+    run(context, script, lambda agent, backend: agent.exchange(backend))
+
+
+@then('the result is the complete body "{body}"')
+def step_check_complete(context, body):
+    assert context.result == (200, body.encode()), context.result
+
+
+@then("the result is {kind:w}")
+def step_check_failed(context, kind):
+    assert context.result is FAILURE_KINDS[kind], context.result
+
+
+@given("a backend server that drops connections without notice after {idle_s:g} s")
+def step_dropping_backend(context, idle_s):
+    async def script(backend, stream, _):
+        await backend.send(stream, make_response(b"ok"))
+        with anyio.move_on_after(idle_s):
+            await stream.receive()
+            raise AssertionError("the request came in time; the script serves only one")
+        await stream.receive()  # Whatever is sent next on this connection is reset.
+        reset(stream)
+        await stream.aclose()
+
+    context.dropping_script = script
+
+
+@when("{count:d} requests are sent, one every {interval_s:g} s")
+def step_send_series(context, count, interval_s):
+    async def call(agent, backend):
+        results = []
+        for _ in range(count):
+            results.append(await agent.exchange(backend))
+            await anyio.sleep(interval_s)
+        return results
+
+    run(context, context.dropping_script, call)
+
+
+@then("at most {count:d} of them fails")
+def step_check_series(context, count):
+    failed = [result for result in context.result if result != (200, b"ok")]
+    assert len(failed) <= count, context.result
