Serve requests that callers send ahead in order, within bounds, and notice callers that leave

Change: a queue of 32 requests on a connection before it isn't read any more, a notice to all of them, closing after discarding while bytes may be unread, sizes of heads, unfinished parts and trailers counted as they come.

--- a/src/samphirespring/connection/http_protocol.py
+++ b/src/samphirespring/connection/http_protocol.py
@@ -1,7 +1,8 @@
 """Server side of one HTTP/1.1 connection, on uvicorn's protocol for httptools."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import httptools
@@ -19,6 +20,11 @@
 from samphirespring.process.errors import ErrorCode
 
 KEEPALIVE_TIMEOUT_S = 75
+QUEUED_REQUESTS = 32
+"""Requests sent ahead on one connection that wait before the connection isn't read any more."""
+
+REQUEST_LINE_BYTES = len(b"  HTTP/1.1\r\n\r\n")
+HEADER_SEPARATOR_BYTES = len(b": \r\n")
 DISCONNECT_EXTENSION = "samphire.disconnect"
 """Name of the ASGI extension that holds the `DisconnectNotice` of a request."""
 
@@ -86,9 +92,9 @@
 class BoundedHttpProtocol(HttpToolsProtocol):
     """Applies bounds to each connection and responds to malformed HTTP with an error code.
 
-    Requests that a client sends ahead are parsed at most as far as the bytes of one read; then the
-    connection isn't read until their turn comes. They are served in order, and not at all behind a
-    response that closes the connection.
+    Requests that a client sends ahead wait in a queue; when it is full, the connection isn't read
+    until their turn comes. They are served in order, and not at all behind a response that closes
+    the connection.
     """
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -102,7 +108,10 @@
         self._is_rejected = False
         self.timeout_keep_alive = bounds.idle_timeout_s  # type: ignore[assignment]
         super().connection_made(ClosingTransport(transport, self.loop))
-        self.flow = _PipelineFlow(self.transport, has_waiting=lambda: bool(self.pipeline))
+        self._pipeline_flow = _PipelineFlow(
+            self.transport, count_waiting=lambda: len(self.pipeline)
+        )
+        self.flow = self._pipeline_flow
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the requests that are served or wait that the client has gone."""
@@ -111,9 +120,7 @@
         self.pipeline.clear()
         for cycle in (self._running, *waiting):
             if cycle is not None and not cycle.response_complete:
-                cycle.disconnected = True
-                cycle.message_event.set()
-                read_notice(cycle.scope).give()
+                self._end_cycle(cycle)
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
 
@@ -141,7 +148,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
-        self._guard.count(len(name) + len(value))
+        self._guard.count(len(name) + len(value) + HEADER_SEPARATOR_BYTES)
         if self._guard.expects_head:
             super().on_header(name, value)
 
@@ -149,17 +156,21 @@
         """End the head of a request, and serve it if no other one is being served."""
         self._stop_head_timer()
         self._guard.end_head()
+        self._guard.count(len(self.parser.get_method()) + REQUEST_LINE_BYTES)
+        if self._guard.is_exceeded:
+            raise httptools.HttpParserError("the head is too large")
         if self.parser.get_http_version() == "1.1" and _count_hosts(self.headers) != 1:
             raise httptools.HttpParserError("a request needs exactly one Host header")
         self.scope["extensions"] = {DISCONNECT_EXTENSION: {NOTICE: DisconnectNotice()}}
-        super().on_headers_complete()
+        with self._pipeline_flow.queueing():
+            super().on_headers_complete()
         if self.parser.should_upgrade():
             # The parser accepts no further request after one that asks for another protocol.
             self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Keep part of a body for the request's task."""
-        self._guard.count(0)
+        self._guard.count_body(len(body))
         super().on_body(body)
 
     def on_response_complete(self) -> None:
@@ -168,6 +179,12 @@
         if not self.transport.is_closing():
             self.flow.resume_reading()
 
+    def _end_cycle(self, cycle: RequestResponseCycle) -> None:
+        """Tell a request that its client has gone; nothing more is sent for it."""
+        cycle.disconnected = True
+        cycle.message_event.set()
+        read_notice(cycle.scope).give()
+
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._running = cycle
         super()._start_asgi_task(cycle, app)
@@ -188,10 +205,17 @@
         the connection is closed without another response.
         """
         self._is_rejected = True
-        if self._running is not None and not self._running.response_complete:
-            self._running.keep_alive = False
-            self.pipeline.clear()
-            return
+        self.pipeline.clear()
+        running = self._running
+        if running is not None and not running.response_complete:
+            if not running.more_body:
+                running.keep_alive = False
+                return
+            # The rest of its body won't come.
+            self._end_cycle(running)
+            if running.response_started:
+                self.transport.close()
+                return
         body = encode_problem(
             Problem(
                 title="malformed request",
@@ -212,20 +236,37 @@
 
 
 class _PipelineFlow(FlowControl):
-    """Flow control that reads nothing more while requests that were sent ahead wait.
+    """Flow control that stops reading once enough requests that were sent ahead wait.
+
+    A connection that isn't read doesn't tell that its client has gone, so a few may wait.
 
     Args:
         transport: The transport of the connection.
-        has_waiting: Returns whether such requests wait.
+        count_waiting: Returns how many such requests wait.
     """
 
-    def __init__(self, transport: asyncio.Transport, *, has_waiting: Callable[[], bool]) -> None:
+    def __init__(self, transport: asyncio.Transport, *, count_waiting: Callable[[], int]) -> None:
         super().__init__(transport)
-        self._has_waiting = has_waiting
+        self._count_waiting = count_waiting
+        self._is_queueing = False
+
+    @contextmanager
+    def queueing(self) -> Iterator[None]:
+        """Treat pauses inside the context as caused by a request that is queued."""
+        self._is_queueing = True
+        try:
+            yield
+        finally:
+            self._is_queueing = False
+
+    def pause_reading(self) -> None:
+        """Stop reading, unless more requests may be queued."""
+        if not self._is_queueing or self._count_waiting() >= QUEUED_REQUESTS:
+            super().pause_reading()
 
     def resume_reading(self) -> None:
-        """Read on, unless requests wait."""
-        if not self._has_waiting():
+        """Read on, unless the queue is full."""
+        if self._count_waiting() < QUEUED_REQUESTS:
             super().resume_reading()
 
 
@@ -239,10 +280,14 @@
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
         self._size_bytes = 0
+        """Size of the complete parts of the head and the trailers, in bytes."""
+
         self._pending_bytes = 0
-        """Bytes received since the parser last reported a part of the request."""
+        """Bytes of a part that isn't complete."""
+
+        self._uncounted_bytes = 0
+        """Bytes of the current feed that belong to no complete part."""
 
-        self._fed_bytes = 0
         self._has_progress = False
         self.expects_head = False
         """Whether a head has begun and isn't complete."""
@@ -252,26 +297,39 @@
         """Whether the head, the trailers or a part that has no end is too large."""
         return self._size_bytes + self._pending_bytes > self._limit_bytes
 
-    def begin_feed(self, count: int) -> None:
+    def begin_feed(self, size_bytes: int) -> None:
         """Record received bytes before they are parsed.
 
         Args:
-            count: Number of bytes.
+            size_bytes: Number of bytes.
         """
-        self._fed_bytes = count
+        self._uncounted_bytes = size_bytes
         self._has_progress = False
 
     def end_feed(self) -> None:
-        """Count received bytes in which no part of the request ended."""
-        self._pending_bytes = 0 if self._has_progress else self._pending_bytes + self._fed_bytes
+        """Count the received bytes of a part that isn't complete."""
+        if self._has_progress:
+            self._pending_bytes = 0
+        if self.expects_head or not self._has_progress:
+            self._pending_bytes += max(0, self._uncounted_bytes)
 
-    def count(self, count: int) -> None:
-        """Count a part of the head or a trailer.
+    def count(self, size_bytes: int) -> None:
+        """Count a complete part of the head or a trailer.
 
         Args:
-            count: Number of bytes; 0 for parts of the body, which have their own limit.
+            size_bytes: Number of bytes.
         """
-        self._size_bytes += count
+        self._size_bytes += size_bytes
+        self._uncounted_bytes -= size_bytes
+        self._has_progress = True
+
+    def count_body(self, size_bytes: int) -> None:
+        """Count a part of the body, which has its own limit.
+
+        Args:
+            size_bytes: Number of bytes.
+        """
+        self._uncounted_bytes -= size_bytes
         self._has_progress = True
 
     def begin_head(self) -> None:
@@ -279,6 +337,7 @@
         self.expects_head = True
         self._has_progress = True
         self._size_bytes = 0
+        self._pending_bytes = 0
 
     def end_head(self) -> None:
         """End the head of the request."""
