Date evidence of short faults by the start of its attempt, and count attempts that outlive a fault's usual failure

Cause: a response tells the state of its target when the attempt began, 0.3 to 2 s before its end; the agent dated it by its end. An action that fails because a call of the target failed marked the target like a fault does.

--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -4,7 +4,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from samphirespring.process.admission_queue import MAX_WAIT_S, Waiter
+from samphirespring.process.admission_queue import MAX_WAIT_S, Admission, Waiter
 from samphirespring.process.agent_messages import (
     AdmitAttempt,
     AgentDump,
@@ -148,7 +148,7 @@
         if code is None and target.running >= target.slots:
             code = self._enqueue(target, message)
         elif code is None:
-            message.reply.send(target.start())
+            message.reply.send(self._start(target, request))
         if code is not None:
             self._metrics.count(Counter.AGENT_REFUSALS, code.value)
             load = self._read_load(target)
@@ -204,7 +204,10 @@
             waiter = target.queue.pop_next(now_s=self._timers.read_now_s())
             if waiter is None:
                 return
-            waiter.reply.send(target.start())
+            waiter.reply.send(self._start(target, waiter.request))
+
+    def _start(self, target: LocalTarget, request: AttemptRequest) -> Admission:
+        return target.start(request.attempt, now_s=self._timers.read_now_s())
 
     def _refuse_waiting(self) -> None:
         for target in self._targets.values():
@@ -223,9 +226,14 @@
     def _observe(self, target: LocalTarget, message: FinishAttempt) -> None:
         now_s = self._timers.read_now_s()
         target.evaluator.use_terms(message.terms, now_s=now_s)
+        if target.suspicion is not None:
+            target.suspicion.end(
+                message.attempt,
+                message.outcome,
+                now_s=now_s,
+                as_slow_as_usual=_is_as_slow_as_usual(message),
+            )
         if message.outcome is not None:
-            if target.suspicion is not None:
-                target.suspicion.observe(message.outcome, now_s=now_s)
             self._condition_watch.observe(
                 target.evaluator.health,
                 Observation(
@@ -436,3 +444,9 @@
         severity=1.0 if ejectable else 0.0,
         weight=REPORTED_WEIGHTS.get(condition, 1.0),
     )
+
+
+def _is_as_slow_as_usual(message: FinishAttempt) -> bool:
+    """Return whether an attempt took as long as three quarters of the pool's responses do."""
+    reference = None if message.terms is None else message.terms.reference
+    return reference is not None and message.latency_s >= reference.read_p25_s()
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent_messages.py
@@ -28,6 +28,7 @@
 from samphirespring.process.states import TargetPhase
 from samphirespring.process.targets import HostRecord, TargetLoad
 from samphirespring.process.tasks import StateDump
+from samphirespring.request.ids import AttemptId
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
 from samphirespring.version.document import ServicePolicy
 from samphirespring.version.ids import DocumentVersion, ServiceName
@@ -103,6 +104,7 @@
     """Releases a slot and reports the outcome of the attempt."""
 
     target: TargetId
+    attempt: AttemptId
     latency_s: float
     """Latency of the target, without time in queues and on links, in seconds."""
 
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -216,6 +216,7 @@
             self._agent,
             lambda reply: FinishAttempt(
                 target=request.target,
+                attempt=request.attempt,
                 latency_s=latency_s,
                 outcome=outcome,
                 terms=request.terms,
--- a/src/samphirespring/process/detection/reference.py
+++ b/src/samphirespring/process/detection/reference.py
@@ -26,6 +26,10 @@
 class PoolReference(ResponseQuantiles, frozen=True, array_like=True, gc=False):
     """Typical latencies and failures of a pool, in the units of `TargetSummary`."""
 
+    def read_p25_s(self) -> float:
+        """Return the 25th percentile of the latency, in seconds."""
+        return math.exp(decode_log_latency(self.p25))
+
     def read_p97_s(self) -> float:
         """Return the 97th percentile of the latency, in seconds."""
         return math.exp(decode_log_latency(self.p97))
--- a/src/samphirespring/process/local_target.py
+++ b/src/samphirespring/process/local_target.py
@@ -10,6 +10,7 @@
 from samphirespring.process.states import TargetPhase
 from samphirespring.process.suspicion import Suspicion
 from samphirespring.process.targets import TargetLoad
+from samphirespring.request.ids import AttemptId
 from samphirespring.request.states import RefusalCode
 
 
@@ -88,9 +89,16 @@
         self.withdrawn = True
         self.queue.refuse_all(RefusalCode.DRAINING)
 
-    def start(self) -> Admission:
-        """Acquire a slot for one attempt."""
+    def start(self, attempt: AttemptId, *, now_s: float) -> Admission:
+        """Acquire a slot for one attempt.
+
+        Args:
+            attempt: The attempt.
+            now_s: Monotonic time, in seconds.
+        """
         self.running += 1
+        if self.suspicion is not None:
+            self.suspicion.begin(attempt, now_s=now_s)
         return Admission(address=self.announcement.address)
 
     def read_load(self, now_s: float) -> TargetLoad:
--- a/src/samphirespring/process/suspicion.py
+++ b/src/samphirespring/process/suspicion.py
@@ -3,6 +3,7 @@
 from samphirespring.process.detection.fault_risk import FaultModel, FaultRisk
 from samphirespring.process.detection.observations import FAILURES
 from samphirespring.process.detection.states import ObservedOutcome
+from samphirespring.request.ids import AttemptId
 from samphirespring.request.messages import AttemptRequest
 
 SUSPECT_RISK = 0.5
@@ -11,6 +12,12 @@
 TRIAL_INTERVAL_S = 1.0
 """Minimum time between two reads that try a suspect target, in seconds."""
 
+_FAILED_BY_OUTCOME = {
+    ObservedOutcome.OK: False,
+    ObservedOutcome.SHED: True,
+    **dict.fromkeys(FAILURES, True),
+}
+
 
 class Suspicion:
     """Tracks the risk of one target and rejects attempts that another target would serve better.
@@ -34,19 +41,38 @@
         if model != self._risk.model:
             self._risk = FaultRisk(model, now_s=now_s)
 
-    def observe(self, outcome: ObservedOutcome, *, now_s: float) -> None:
-        """Update the risk with an outcome; errors of callers are ignored.
+    def begin(self, attempt: AttemptId, *, now_s: float) -> None:
+        """Record the start of an attempt.
+
+        Args:
+            attempt: The attempt.
+            now_s: Monotonic time, in seconds.
+        """
+        self._risk.begin(attempt, now_s=now_s)
+
+    def end(
+        self,
+        attempt: AttemptId,
+        outcome: ObservedOutcome | None,
+        *,
+        now_s: float,
+        as_slow_as_usual: bool = False,
+    ) -> None:
+        """Update the risk with the end of an attempt; errors of callers say nothing.
 
         Shedding counts as a failure: the agent admits attempts only into free slots, so a target
         that sheds them serves as little as one that fails.
 
         Args:
-            outcome: The outcome.
+            attempt: The attempt.
+            outcome: Its outcome; None if it is no evidence.
             now_s: Monotonic time, in seconds.
+            as_slow_as_usual: Whether the response took as long as successful ones do.
         """
-        failed = outcome in FAILURES or outcome is ObservedOutcome.SHED
-        if failed or outcome is ObservedOutcome.OK:
-            self._risk.observe(failed=failed, now_s=now_s)
+        failed = None if outcome is None else _FAILED_BY_OUTCOME.get(outcome)
+        # Only a complete response shows by its time what failed the request.
+        slow = as_slow_as_usual and outcome is ObservedOutcome.WRONG
+        self._risk.end(attempt, failed=failed, as_slow_as_usual=slow, now_s=now_s)
 
     def read(self, now_s: float) -> float:
         """Return the current risk.
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -46,22 +46,22 @@
 
 @when("the target succeeds")
 def step_ok(context):
-    context.suspicion.observe(ObservedOutcome.OK, now_s=context.now_s)
+    context.suspicion.end("a", ObservedOutcome.OK, now_s=context.now_s)
 
 
 @when("the target fails")
 def step_fail(context):
-    context.suspicion.observe(ObservedOutcome.WRONG, now_s=context.now_s)
+    context.suspicion.end("a", ObservedOutcome.WRONG, now_s=context.now_s)
 
 
 @when("the target sheds a request")
 def step_shed(context):
-    context.suspicion.observe(ObservedOutcome.SHED, now_s=context.now_s)
+    context.suspicion.end("a", ObservedOutcome.SHED, now_s=context.now_s)
 
 
 @when("the target responds with an error of the caller")
 def step_client_error(context):
-    context.suspicion.observe(ObservedOutcome.CLIENT_ERROR, now_s=context.now_s)
+    context.suspicion.end("a", ObservedOutcome.CLIENT_ERROR, now_s=context.now_s)
 
 
 @when("{duration:d} s passes")
@@ -158,7 +158,7 @@
     context.pool = FaultyPool(count, seed=1, use_risk=True)
     context.pool.reported_risks = dict.fromkeys(context.pool.names, (0.3, float("-inf")))
     for agent in context.pool.agents.values():
-        agent._risk._risk = risk
+        agent._risk._base_risk = risk
 
 
 @then("an action is refused by at most {count:d} targets and runs on the fourth")
@@ -202,7 +202,7 @@
             name = self.find_target(now_s, tried, idempotent=idempotent)
             failed = self.random.random() < (0.9 if self.faulty[name] else 0.012)
             outcome = ObservedOutcome.WRONG if failed else ObservedOutcome.OK
-            self.agents[name].observe(outcome, now_s=now_s)
+            self.agents[name].end("a", outcome, now_s=now_s)
             self.reported_risks[name] = (self.agents[name].read(now_s), now_s)
             self.served.append((now_s, name))
             if not failed:
--- a/tests/front/agent_load.py
+++ b/tests/front/agent_load.py
@@ -103,7 +103,9 @@
 
 def make_finish_message(reply, duration_s):
     """Return the message that releases a slot."""
-    return FinishAttempt(target="t", latency_s=duration_s, outcome=None, terms=None, reply=reply)
+    return FinishAttempt(
+        target="t", attempt="a", latency_s=duration_s, outcome=None, terms=None, reply=reply
+    )
 
 
 def make_attempt(priority, *, service, remaining_ms):
