--- a/src/samphirespring/process/detection/fault_risk.py
+++ b/src/samphirespring/process/detection/fault_risk.py
@@ -17,7 +17,7 @@
 """Weight of a failure that took as long as a successful response."""
 
 MAX_EVIDENCE = 32
-"""Number of attempts of a target that are kept, so that later ends find their place in the order."""
+"""Number of attempts of a target that are kept, in the order of their starts."""
 
 INITIAL_FAILURE_LATENCY_S = 0.1
 """Mean time to a failure at a target in a fault before the first one is seen, in seconds."""
