--- a/src/samphirespring/connection/attempt_channel.py
+++ b/src/samphirespring/connection/attempt_channel.py
@@ -1,4 +1,4 @@
-"""Messages of the channel on which a front runs all its attempts at one agent.
+"""Messages of the channel on which a front runs its attempts at an agent, and asks for targets.
 
 One pair of gRPC streams carries all attempts between two processes: opening a stream for each
 attempt took more processor time than the attempt itself. A number tells the attempts of a channel
@@ -10,7 +10,10 @@
 import msgspec
 
 from samphirespring.connection.link_methods import DuplexMethod
+from samphirespring.process.targets import Locality, TargetLoad
 from samphirespring.request.messages import AttemptFrame, AttemptRequest
+from samphirespring.request.selection import Candidate
+from samphirespring.request.target_source import SelectionTerms
 
 ChannelNumber = NewType("ChannelNumber", int)
 """Number of an attempt on its channel; grows with each attempt."""
@@ -54,8 +57,32 @@
     frames: tuple[AttemptFrame, ...]
 
 
-ToAgent = OpenAttempt | SendBody | GrantCredit | CancelAttempt
-ToFront = AttemptFrames | GrantCredit
+class AskTarget(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="ask"):
+    """Requests a target from the peer's target table; it counts as used until `EndSelection`."""
+
+    number: ChannelNumber
+    terms: SelectionTerms
+    locality: Locality
+    """Locality of the front that sends the attempt."""
+
+
+class TargetSelected(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="selected"):
+    """Reply to `AskTarget`."""
+
+    number: ChannelNumber
+    candidate: Candidate | None
+
+
+class EndSelection(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="end"):
+    """Ends the use of a target that was asked for."""
+
+    number: ChannelNumber
+    load: TargetLoad | None
+    """Load that the target's agent sent; None if the attempt ended without."""
+
+
+ToAgent = OpenAttempt | SendBody | GrantCredit | CancelAttempt | AskTarget | EndSelection
+ToFront = AttemptFrames | GrantCredit | TargetSelected
 
 RUN_ATTEMPTS: DuplexMethod[ToAgent, ToFront] = DuplexMethod(
     path="/samphire.Agent/RunAttempts", request_type=ToAgent, reply_type=ToFront
--- a/src/samphirespring/connection/channel_client.py
+++ b/src/samphirespring/connection/channel_client.py
@@ -10,12 +10,15 @@
 from samphirespring.connection.attempt_channel import (
     RESPONSE_CREDIT_BYTES,
     RUN_ATTEMPTS,
+    AskTarget,
     AttemptFrames,
     CancelAttempt,
     ChannelNumber,
+    EndSelection,
     GrantCredit,
     OpenAttempt,
     SendBody,
+    TargetSelected,
     ToAgent,
     ToFront,
 )
@@ -23,7 +26,8 @@
 from samphirespring.connection.link_client import Duplex, Link
 from samphirespring.connection.link_errors import LinkUnavailableError, MethodUnknownError
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.mailbox import InboxFullError, Mailbox
+from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot
+from samphirespring.process.targets import Locality, TargetLoad
 from samphirespring.request.body import BodyAbortedError, RequestBody
 from samphirespring.request.messages import (
     AttemptFrame,
@@ -31,6 +35,8 @@
     AttemptResult,
     ResponseChunk,
 )
+from samphirespring.request.selection import Candidate
+from samphirespring.request.target_source import SelectionTerms
 
 OUTBOX_CAPACITY = 10_000
 GRANT_BYTES = RESPONSE_CREDIT_BYTES // 4
@@ -86,6 +92,15 @@
         return granted_bytes
 
 
+class ChannelSelection:
+    """A target that the peer selected."""
+
+    def __init__(self) -> None:
+        self.candidate: Candidate | None = None
+        self.load: TargetLoad | None = None
+        """Load that the target's agent sent, to be passed on at the end."""
+
+
 class AttemptChannel:
     """Runs attempts at one agent over one pair of streams.
 
@@ -100,6 +115,7 @@
 
         self._link: Link | None = None
         self._attempts: dict[ChannelNumber, _OpenedAttempt] = {}
+        self._asked: dict[ChannelNumber, ReplySlot[Candidate | None]] = {}
         self._outbox: Mailbox[ToAgent] = Mailbox(name="attempt_channel", capacity=OUTBOX_CAPACITY)
         self._next_number = 1
 
@@ -131,12 +147,8 @@
         Raises:
             LinkUnavailableError: The agent doesn't acknowledge, or the channel broke.
         """
-        if self.error is not None:
-            raise LinkUnavailableError(self.error.detail, sent=False)
-        if self._link is not None:
-            self._link.check_acknowledgements()
-        number = ChannelNumber(self._next_number)
-        self._next_number += 1
+        self._check_open()
+        number = self._draw_number()
         attempt = _OpenedAttempt(body if request.body_follows else None)
         self._attempts[number] = attempt
         try:
@@ -147,6 +159,43 @@
             if self._attempts.pop(number, None) is not None:
                 self._post(CancelAttempt(number=number))
 
+    @asynccontextmanager
+    async def select(
+        self, terms: SelectionTerms, *, locality: Locality
+    ) -> AsyncIterator["ChannelSelection"]:
+        """Ask the peer for a target; leaving the context ends its use.
+
+        Args:
+            terms: What the attempt needs.
+            locality: Locality of this process.
+
+        Raises:
+            LinkUnavailableError: The channel broke before the reply.
+        """
+        self._check_open()
+        number = self._draw_number()
+        slot: ReplySlot[Candidate | None] = ReplySlot()
+        self._asked[number] = slot
+        selection = ChannelSelection()
+        try:
+            self._outbox.post(AskTarget(number=number, terms=terms, locality=locality))
+            selection.candidate = await slot.wait()
+            yield selection
+        finally:
+            self._asked.pop(number, None)
+            self._post(EndSelection(number=number, load=selection.load))
+
+    def _check_open(self) -> None:
+        if self.error is not None:
+            raise LinkUnavailableError(self.error.detail, sent=False)
+        if self._link is not None:
+            self._link.check_acknowledgements()
+
+    def _draw_number(self) -> ChannelNumber:
+        number = ChannelNumber(self._next_number)
+        self._next_number += 1
+        return number
+
     async def _iterate_frames(
         self, number: ChannelNumber, attempt: _OpenedAttempt
     ) -> AsyncIterator[AttemptFrame]:
@@ -196,6 +245,11 @@
                 return
 
     def _handle(self, message: ToFront, group: TaskGroup) -> None:
+        if isinstance(message, TargetSelected):
+            slot = self._asked.get(message.number)
+            if slot is not None:
+                slot.send(message.candidate)
+            return
         attempt = self._attempts.get(message.number)
         if attempt is None:
             return
@@ -227,6 +281,8 @@
         if self.error is not None:
             return
         self.error = error
+        for slot in self._asked.values():
+            slot.fail(LinkUnavailableError(f"{self.address}: {error.detail}", sent=True))
         reached_agent = not isinstance(error, MethodUnknownError)
         for attempt in self._attempts.values():
             sent = attempt.was_sent and reached_agent
--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -7,19 +7,29 @@
 
 from samphirespring.connection.attempt_channel import (
     RESPONSE_CREDIT_BYTES,
+    AskTarget,
     AttemptFrames,
     CancelAttempt,
     ChannelNumber,
+    EndSelection,
     GrantCredit,
     OpenAttempt,
     SendBody,
+    TargetSelected,
     ToAgent,
     ToFront,
 )
 from samphirespring.connection.channel_body import ChannelBody
 from samphirespring.connection.credit import Credit
 from samphirespring.connection.link_errors import LinkUnavailableError
-from samphirespring.process.mailbox import InboxFullError, Mailbox
+from samphirespring.process.ids import TargetId
+from samphirespring.process.mailbox import ForwardingSlot, InboxFullError, Mailbox, ReplySlot
+from samphirespring.process.target_table import (
+    ReleaseTarget,
+    SelectTarget,
+    TableMessage,
+    UpdateLoad,
+)
 from samphirespring.request.attempt_starter import AttemptHandle, AttemptStarter
 from samphirespring.request.frame_sink import FrameSink
 from samphirespring.request.messages import (
@@ -27,6 +37,7 @@
     FrameBatch,
     ResponseChunk,
 )
+from samphirespring.request.selection import Candidate
 from samphirespring.request.states import RefusalCode
 
 OUTBOX_CAPACITY = 100_000
@@ -52,10 +63,12 @@
 
     Args:
         starter: Starts attempts.
+        table: Inbox of the target table that selects targets for other fronts.
     """
 
-    def __init__(self, starter: AttemptStarter) -> None:
+    def __init__(self, starter: AttemptStarter, *, table: Mailbox[TableMessage]) -> None:
         self._starter = starter
+        self._table = table
 
     async def serve(
         self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
@@ -66,15 +79,22 @@
             messages: Messages of the front.
             send: Sends a message to the front; waits while the front reads slowly.
         """
-        channel = _ServedChannel(self._starter)
+        channel = _ServedChannel(self._starter, self._table)
         await channel.serve(messages, send)
 
 
 class _ServedChannel:
     """State of one channel."""
 
-    def __init__(self, starter: AttemptStarter) -> None:
+    def __init__(self, starter: AttemptStarter, table: Mailbox[TableMessage]) -> None:
         self._starter = starter
+        self._table = table
+        self._selected: dict[ChannelNumber, TargetId] = {}
+        """Targets that the front uses."""
+
+        self._asked: dict[ChannelNumber, ReplySlot[Candidate | None]] = {}
+        """Selections that the table hasn't made yet."""
+
         self._attempts: dict[ChannelNumber, _OpenedAttempt] = {}
         self._outbox: Mailbox[ToFront] = Mailbox(name="attempt_channel", capacity=OUTBOX_CAPACITY)
 
@@ -90,6 +110,10 @@
         finally:
             for attempt in self._attempts.values():
                 _end(attempt)
+            for slot in self._asked.values():
+                slot.abandoned = True
+            for target in self._selected.values():
+                self._table.post(ReleaseTarget(target=target))
 
     async def _send_all(self, send: Callable[[ToFront], Awaitable[None]]) -> None:
         while True:
@@ -116,6 +140,44 @@
                 attempt = self._attempts.pop(message.number, None)
                 if attempt is not None:
                     _end(attempt)
+            case AskTarget():
+                self._ask_target(message)
+            case EndSelection():
+                self._end_selection(message)
+
+    def _ask_target(self, message: AskTarget) -> None:
+        slot = ForwardingSlot[Candidate | None](
+            lambda candidate: self._send_selected(message.number, candidate)
+        )
+        request = SelectTarget(
+            terms=message.terms, locality=message.locality, is_shared=True, reply=slot
+        )
+        try:
+            self._table.post(request)
+        except InboxFullError:
+            # The front then asks its own table, which has less to do.
+            self._post(TargetSelected(number=message.number, candidate=None))
+            return
+        self._asked[message.number] = slot
+
+    def _send_selected(self, number: ChannelNumber, candidate: Candidate | None) -> None:
+        del self._asked[number]
+        if candidate is not None:
+            self._selected[number] = candidate.target
+        self._post(TargetSelected(number=number, candidate=candidate))
+
+    def _end_selection(self, message: EndSelection) -> None:
+        slot = self._asked.get(message.number)
+        if slot is not None:
+            # The table then selects no target, so that none stays counted as used.
+            slot.abandoned = True
+            return
+        target = self._selected.pop(message.number, None)
+        if target is None:
+            return
+        if message.load is not None:
+            self._table.post(UpdateLoad(target=target, load=message.load))
+        self._table.post(ReleaseTarget(target=target))
 
     def _open(self, message: OpenAttempt) -> None:
         number = message.number
--- a/src/samphirespring/platform/backend_dialect.py
+++ b/src/samphirespring/platform/backend_dialect.py
@@ -12,7 +12,6 @@
 
 MISDIRECTED = 421
 SUCCESS_STATUSES = range(200, 300)
-MAX_HINT_DIGITS = 6
 
 
 class PlatformBackendDialect(BackendDialect):
--- a/src/samphirespring/process/attempt_channels.py
+++ b/src/samphirespring/process/attempt_channels.py
@@ -70,7 +70,7 @@
             async with self._single.send(request, body=body, link_address=link_address) as frames:
                 yield frames
         else:
-            async with self._find_channel(link_address).open(request, body) as frames:
+            async with self.find_channel(link_address).open(request, body) as frames:
                 yield frames
 
     def _is_old_agent(self, address: str) -> bool:
@@ -82,7 +82,12 @@
         del self._old_agents_until_s[address]
         return False
 
-    def _find_channel(self, address: str) -> AttemptChannel:
+    def find_channel(self, address: str) -> AttemptChannel:
+        """Return the channel to a host; it is opened if there is none.
+
+        Args:
+            address: `IP:port` of the host's link server.
+        """
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = AttemptChannel(address)
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -56,6 +56,7 @@
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import Front
 from samphirespring.process.ledger.client import LedgerClient
+from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.log_events import LogEvent
 from samphirespring.process.metrics_setup import make_metrics
 from samphirespring.process.node_operations import NodeOperations
@@ -68,6 +69,7 @@
     run_tasks,
     watch_stop_signals,
 )
+from samphirespring.process.scheduled_targets import ScheduledTargetSource
 from samphirespring.process.settings import (
     CallerLimits,
     NodeSettings,
@@ -190,6 +192,9 @@
             generator=generator,
             traffic_limiter=traffic_limiter.inbox,
         )
+        self._attempt_channel_server = AttemptChannelServer(
+            self._attempt_runner, table=target_table.inbox
+        )
         path_prober = PathProber(
             inbox=target_table.path_prober_inbox,
             table=target_table.inbox,
@@ -198,6 +203,13 @@
             metrics=metrics,
         )
         attempt_channels = AttemptChannels(self._link_pool, timers=self._timers)
+        targets = ScheduledTargetSource(
+            LocalTargetSource(target_table.inbox),
+            table=target_table.inbox,
+            find_channel=attempt_channels.find_channel,
+            locality=locality,
+            timers=self._timers,
+        )
         exchange_context = ExchangeContext(
             sender=LocalFirstSender(
                 own_address=link_address,
@@ -205,6 +217,7 @@
                 remote=attempt_channels,
             ),
             table=target_table.inbox,
+            targets=targets,
             traffic_limiter=traffic_limiter.inbox,
             timers=self._timers,
             metrics=metrics,
@@ -355,7 +368,7 @@
     async def _serve_links(self) -> AsyncIterator[None]:
         handlers: list[LinkHandler] = [
             StreamHandler(RUN_ATTEMPT, self._attempt_runner.handle_attempt),
-            DuplexHandler(RUN_ATTEMPTS, AttemptChannelServer(self._attempt_runner).serve),
+            DuplexHandler(RUN_ATTEMPTS, self._attempt_channel_server.serve),
             UnaryHandler(PING, handle_ping),
             UnaryHandler(FENCE_ATTEMPT, self._action_guard.fence),
             UnaryHandler(WATCH_DOCUMENT, self._document_store.watch),
--- a/src/samphirespring/process/mailbox.py
+++ b/src/samphirespring/process/mailbox.py
@@ -137,6 +137,28 @@
         return self._replies[0]
 
 
+class ForwardingSlot(ReplySlot[ReplyT]):
+    """Passes the reply on to a function, without a task that waits for it.
+
+    Args:
+        forward: Called with the reply.
+    """
+
+    def __init__(self, forward: Callable[[ReplyT], None]) -> None:
+        super().__init__()
+        self._forward = forward
+
+    def send(self, value: ReplyT) -> None:
+        """Pass the reply on.
+
+        Args:
+            value: The reply.
+        """
+        if not self._ready.is_set():
+            super().send(value)
+            self._forward(value)
+
+
 async def ask(
     mailbox: Mailbox[MessageT], make_message: Callable[[ReplySlot[ReplyT]], MessageT]
 ) -> ReplyT:
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -94,6 +94,10 @@
         """Number of targets."""
         return len(self._members)
 
+    def list_candidates(self) -> Sequence[Candidate]:
+        """Return the usable targets."""
+        return [m.candidate for m in self._members.values() if is_usable(m.candidate)]
+
     def put(self, candidate: Candidate, *, now_s: float) -> None:
         """Add or replace a target; the count of the front's own attempts on it is kept.
 
@@ -209,9 +213,11 @@
     def _choose_tiers(
         self, region_hosts: Collection[HostId], subset_size: int
     ) -> tuple[tuple[PoolMember, ...], ...]:
-        usable = [m.candidate for m in self._members.values() if is_usable(m.candidate)]
         subset = choose_subset(
-            usable, locality=self._locality, region_hosts=region_hosts, size=subset_size
+            self.list_candidates(),
+            locality=self._locality,
+            region_hosts=region_hosts,
+            size=subset_size,
         )
         return tuple(
             tuple(self._members[candidate.target] for candidate in tier) for tier in subset
--- a/src/samphirespring/process/target_advice.py
+++ b/src/samphirespring/process/target_advice.py
@@ -182,6 +182,14 @@
         admitted = _filter_choices(tiers, lambda c: not view.is_ejected(c.target))
         return admitted if any(admitted) or not idempotent else tiers
 
+    def is_reachable(self, host: HostId) -> bool:
+        """Return whether this front can reach a host, as far as it knows.
+
+        Args:
+            host: The host.
+        """
+        return host not in self._unreachable_hosts
+
     def record_selection(self, target: TargetId, *, service: ServiceName, now_s: float) -> None:
         """Record that a target was selected for a request.
 
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -1,7 +1,7 @@
 """A front's table of all targets, owned by one task."""
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 
 import msgspec
 
@@ -38,7 +38,9 @@
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage, UseFrontCount
 from samphirespring.request.risk_selection import RiskSelector
-from samphirespring.request.selection import Candidate, Selector
+from samphirespring.request.scheduler_choice import choose_scheduler
+from samphirespring.request.selection import Candidate, Selector, group_by_distance
+from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import FleetSection, ServicePolicy
 from samphirespring.version.ids import ServiceName
 
@@ -51,14 +53,13 @@
 class SelectTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a target for an attempt; the requester posts `ReleaseTarget` when it ends."""
 
-    service: ServiceName
-    tried: Collection[TargetId]
+    terms: SelectionTerms
     reply: ReplySlot[Candidate | None]
-    idempotent: bool = True
-    """Whether the request is idempotent; other requests never go to targets on trial."""
+    locality: Locality | None = None
+    """Locality of the front that sends the attempt; None for this process's own front."""
 
-    suspected: Collection[TargetId] = ()
-    """Targets that refused the request because they may be faulty and others seemed better."""
+    is_shared: bool = False
+    """Whether several fronts ask this table, which then explores less."""
 
 
 class UpdateLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,6 +120,14 @@
     reply: ReplySlot[DumpPage[object]]
 
 
+class FindScheduler(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests the host whose table should select the targets of a service."""
+
+    service: ServiceName
+    reply: ReplySlot[Peer | None]
+    """The host; None if this process's own table should."""
+
+
 class ReadPeers(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the hosts of one failure domain."""
 
@@ -137,6 +146,7 @@
     | ReadTableDump
     | ReadTablePage
     | ReadPeers
+    | FindScheduler
 )
 
 
@@ -221,6 +231,8 @@
                     message.reply.send(self._make_dump())
                 case ReadTablePage():
                     self._reply_with_page(message)
+                case FindScheduler():
+                    message.reply.send(self._find_scheduler(message.service))
                 case ReadPeers():
                     message.reply.send(self._list_peers(message.domain))
 
@@ -274,13 +286,25 @@
             if record.locality.failure_domain == domain
         )
 
+    def _find_scheduler(self, service: ServiceName) -> Peer | None:
+        pool = self._pools.get(service)
+        # Without a fault model, what one front knows of a target is as good as what all know.
+        if pool is None or service not in self._models:
+            return None
+        return choose_scheduler(
+            service,
+            (c for c in pool.list_candidates() if self._advice.is_reachable(c.locality.host)),
+            locality=self._locality,
+        )
+
     def _select(self, message: SelectTarget) -> Candidate | None:
         self._remove_expired_hosts()
-        pool = self._pools.get(message.service)
+        terms = message.terms
+        service = terms.service
+        pool = self._pools.get(service)
         if pool is None:
             return None
         now_s = self._timers.read_now_s()
-        service = message.service
         self._apply_ejections(pool, service, now_s)
         model = self._models.get(service)
         tiers = self._advice.filter_tiers(
@@ -291,27 +315,30 @@
                 model=model,
             ),
             service=service,
-            idempotent=message.idempotent,
-            is_retry=bool(message.tried),
+            idempotent=terms.idempotent,
+            is_retry=bool(terms.tried),
             now_s=now_s,
         )
         if message.reply.abandoned:
             return None
+        if message.locality is not None:
+            tiers = group_by_distance(tiers, message.locality)
         if model is None:
-            candidate = self._selector.choose(tiers, tried=message.tried)
+            candidate = self._selector.choose(tiers, tried=terms.tried)
         else:
             candidate = self._risk_selector.choose(
                 tiers,
-                tried=message.tried,
-                idempotent=message.idempotent,
-                suspected=message.suspected,
+                tried=terms.tried,
+                idempotent=terms.idempotent,
+                suspected=terms.suspected,
+                is_shared=message.is_shared,
             )
         if candidate is None:
             return None
         pool.acquire(candidate.target)
         self._advice.record_selection(candidate.target, service=service, now_s=now_s)
-        terms = self._advice.read_terms(service, now_s=now_s)
-        return msgspec.structs.replace(candidate, terms=terms)
+        detection = self._advice.read_terms(service, now_s=now_s)
+        return msgspec.structs.replace(candidate, terms=detection)
 
     def _apply_ejections(self, pool: ServicePool, service: ServiceName, now_s: float) -> None:
         excluded = self._advice.list_excluded(service, now_s=now_s)
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -43,7 +43,7 @@
 from samphirespring.request.attempt_errors import make_request_error
 from samphirespring.request.caller import CallerRequest, ResponseMetadata, ResponseWriter
 from samphirespring.request.context import ExchangeContext
-from samphirespring.request.deadline import make_deadline
+from samphirespring.request.deadline import AGENT_REPORT_GRACE_S, make_deadline
 from samphirespring.request.errors import RequestError, ResponseCutError
 from samphirespring.request.exclusive_response_writer import (
     REFUSAL_STATUSES,
@@ -57,18 +57,14 @@
     ResponseEnd,
 )
 from samphirespring.request.retry import RetryDecision, RetryPlanner
-from samphirespring.request.selection import Candidate
 from samphirespring.request.states import Outcome
-from samphirespring.request.target_acquisition import acquire_target
+from samphirespring.request.target_source import Selection, SelectionTerms
 from samphirespring.version.ids import DocumentVersion
 from samphirespring.version.routes import Route
 
 START_WINDOW_MS = 10_000
 """Maximum time from the claim of an attempt to its start, in milliseconds."""
 
-AGENT_REPORT_GRACE_S = 0.05
-"""Time beyond the deadline in which the agent can report a timeout itself, in seconds."""
-
 
 class ActionContext(msgspec.Struct, frozen=True, kw_only=True):
     """Dependencies that all actions of a front share.
@@ -140,7 +136,7 @@
             key, key_from_caller=request.key is not None, retention_s=retention_s
         )
         self._coordinator = ActionCoordinator(self._plan)
-        self._candidate: Candidate | None = None
+        self._selection: Selection | None = None
         self._acquired_target = AsyncExitStack()
 
     async def run(self) -> ActionResult:
@@ -176,17 +172,16 @@
 
     async def _choose(self, step: ChooseTarget) -> ActionEvent:
         await self._acquired_target.aclose()
-        candidate = await self._acquired_target.enter_async_context(
-            acquire_target(
-                self._context.exchange.table,
-                service=self._policy.service,
-                idempotent=False,
-                tried=step.tried,
-            )
+        terms = SelectionTerms(
+            service=self._policy.service, idempotent=False, tried=frozenset(step.tried)
+        )
+        selection = await self._acquired_target.enter_async_context(
+            self._context.exchange.targets.select(terms)
         )
-        if candidate is None:
+        if selection is None:
             return NoTarget()
-        self._candidate = candidate
+        self._selection = selection
+        candidate = selection.candidate
         start_by_ms = self._timers.read_wall_ns() // 1_000_000 + START_WINDOW_MS
         return TargetChosen(
             assignment=AttemptAssignment(
@@ -206,13 +201,13 @@
         )
 
     async def _run_attempt(self, assignment: AttemptAssignment) -> ActionEvent:
-        if self._candidate is None:
+        if self._selection is None:
             raise InternalError("an attempt was recorded without a target")
         remaining_ms = int((self._plan.deadline_at_s - self._timers.read_now_s()) * 1_000)
         message = make_attempt_request(
             self._request,
             policy=self._policy,
-            candidate=self._candidate,
+            candidate=self._selection.candidate,
             document_version=self._document_version,
             remaining_ms=max(1, remaining_ms),
         )
@@ -228,7 +223,7 @@
             self._context.exchange,
             message=message,
             body=self._request.body,
-            candidate=self._candidate,
+            selection=self._selection,
             response=self._response,
         )
         result: AttemptResult | None = None
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -4,7 +4,6 @@
 
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.target_table import UpdateLoad
 from samphirespring.request.body import RequestBody
 from samphirespring.request.caller import CallerRequest
 from samphirespring.request.context import ExchangeContext
@@ -24,6 +23,7 @@
 from samphirespring.request.response_buffer import ResponseBuffer
 from samphirespring.request.selection import Candidate
 from samphirespring.request.states import FailureKind, Outcome, RefusalCode
+from samphirespring.request.target_source import Selection
 from samphirespring.version.document import RoutePolicy
 from samphirespring.version.ids import DocumentVersion
 
@@ -38,7 +38,7 @@
         context: Dependencies that all exchanges of the front share.
         message: The attempt, as it is sent to the agent.
         body: Body of the caller's request.
-        candidate: The target.
+        selection: The target.
         response: Writes the caller's response.
     """
 
@@ -48,13 +48,13 @@
         *,
         message: AttemptRequest,
         body: RequestBody,
-        candidate: Candidate,
+        selection: Selection,
         response: ExclusiveResponseWriter,
     ) -> None:
         self._context = context
         self._message = message
         self._body = body
-        self._candidate = candidate
+        self._selection = selection
         self._response = response
         self._buffer = ResponseBuffer(capacity=context.replay_buffer_bytes)
 
@@ -84,11 +84,11 @@
         if isinstance(result, AttemptRefused) and result.code in CAPACITY_REFUSALS:
             # The agent may report free slots although the backend server itself sheds load.
             load = msgspec.structs.replace(load, free_slots=0)
-        self._context.table.post(UpdateLoad(target=self._candidate.target, load=load))
+        self._selection.report_load(load)
 
     async def _receive_response(self) -> AttemptResult:
         async with self._context.sender.send(
-            self._message, body=self._body, link_address=self._candidate.link_address
+            self._message, body=self._body, link_address=self._selection.candidate.link_address
         ) as frames:
             async for frame in frames:
                 result = await self._handle_frame(frame)
--- a/src/samphirespring/request/context.py
+++ b/src/samphirespring/request/context.py
@@ -10,6 +10,7 @@
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage
 from samphirespring.request.attempt_sender import AttemptSender
+from samphirespring.request.target_source import TargetSource
 
 
 class ExchangeContext(msgspec.Struct, frozen=True, kw_only=True):
@@ -18,6 +19,7 @@
     Attributes:
         sender: Sends attempts to agents.
         table: Inbox of the target table.
+        targets: Selects targets.
         traffic_limiter: Inbox of the task that owns the rate limits and the retry budgets.
         timers: The timer service.
         metrics: Counts requests and attempts.
@@ -28,6 +30,7 @@
 
     sender: AttemptSender
     table: Mailbox[TableMessage]
+    targets: TargetSource
     traffic_limiter: Mailbox[TrafficMessage]
     timers: TimerService
     metrics: Metrics
--- a/src/samphirespring/request/deadline.py
+++ b/src/samphirespring/request/deadline.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+AGENT_REPORT_GRACE_S = 0.05
+"""Time beyond the deadline in which the agent can report a timeout itself, in seconds."""
+
 
 class Deadline(msgspec.Struct, frozen=True, kw_only=True):
     """Time by which the caller needs its response.
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -11,7 +11,7 @@
 from samphirespring.request.attempt_errors import make_request_error
 from samphirespring.request.caller import CallerRequest, ResponseWriter
 from samphirespring.request.context import ExchangeContext
-from samphirespring.request.deadline import Deadline, make_deadline
+from samphirespring.request.deadline import AGENT_REPORT_GRACE_S, Deadline, make_deadline
 from samphirespring.request.errors import (
     DeadlineExpiredError,
     NoTargetError,
@@ -31,14 +31,11 @@
 from samphirespring.request.retry import RetryDecision, RetryPlanner, RetryStep
 from samphirespring.request.selection import Candidate
 from samphirespring.request.states import FailureKind, Outcome, RefusalCode
-from samphirespring.request.target_acquisition import acquire_target
+from samphirespring.request.target_source import Selection, SelectionTerms
 from samphirespring.request.trace import AttemptTrace
 from samphirespring.version.ids import DocumentVersion
 from samphirespring.version.routes import Route
 
-AGENT_REPORT_GRACE_S = 0.05
-"""Time beyond the deadline in which the agent can report a timeout itself, in seconds."""
-
 NO_TARGET_RETRY_AFTER_S = 1
 """Retry delay reported to the caller if no target is available, in seconds."""
 
@@ -149,21 +146,22 @@
 
     async def _run_attempt(self) -> AttemptResult:
         tried = frozenset(candidate.target for candidate in self._tried) - self._suspected
-        async with acquire_target(
-            self._context.table,
+        terms = SelectionTerms(
             service=self._policy.service,
             tried=tried,
             idempotent=self._policy.idempotent,
             suspected=frozenset(self._suspected),
-        ) as candidate:
-            if candidate is None:
+        )
+        async with self._context.targets.select(terms) as selection:
+            if selection is None:
                 raise NoTargetError(
                     f"no target of {self._policy.service} can accept the request",
                     retry_after_s=NO_TARGET_RETRY_AFTER_S,
                 )
-            return await self._send_attempt(candidate)
+            return await self._send_attempt(selection)
 
-    async def _send_attempt(self, candidate: Candidate) -> AttemptResult:
+    async def _send_attempt(self, selection: Selection) -> AttemptResult:
+        candidate = selection.candidate
         message = make_attempt_request(
             self._request,
             policy=self._policy,
@@ -180,7 +178,7 @@
             self._context,
             message=message,
             body=self._request.body,
-            candidate=candidate,
+            selection=selection,
             response=self._response,
         )
         # Until its result is known the attempt may run: cancellation doesn't prove otherwise.
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -46,6 +46,13 @@
 EXPLORATION_SHARE = 0.5
 """Share of first attempts of reads that explore a random near target instead of the best one."""
 
+SHARED_EXPLORATION_SHARE = 0.1
+"""The same for a table that hears how the attempts of many fronts end; it explores only targets
+that it has not heard of for a while."""
+
+STALE_RISK_AGE_S = 1.0
+"""Age from which such a table explores a target, in seconds; a new target has not been heard of."""
+
 EXPLORATION_MAX_RISK = 0.5
 """Risk from which a target isn't explored, because its agent would mostly refuse."""
 
@@ -80,6 +87,7 @@
         tried: Collection[TargetId],
         idempotent: bool,
         suspected: Collection[TargetId] = (),
+        is_shared: bool = False,
     ) -> Candidate | None:
         """Return the target for the next attempt, or None if there is none.
 
@@ -88,6 +96,7 @@
             tried: Targets that already failed or refused the request.
             idempotent: Whether the request may be repeated.
             suspected: Targets that refused the request because others seemed better.
+            is_shared: Whether many fronts ask, so that the reports tell of all their attempts.
         """
         costs = [
             _evaluate(choice, distance, tried, tie_breaker=self._generator.random())
@@ -97,18 +106,25 @@
         if not costs:
             return None
         is_first = not tried and not suspected
-        explored = self._choose_explored(tiers) if idempotent and is_first else None
+        may_explore = idempotent and is_first and self._draw_exploration(is_shared)
+        explored = self._choose_explored(tiers, is_shared=is_shared) if may_explore else None
         if explored is not None:
             return _make_candidate(explored, max_risk=1.0, may_try=True)
         best, max_risk = _choose_best(costs, suspected)
         return _make_candidate(best, max_risk=max_risk, may_try=idempotent and is_first)
 
-    def _choose_explored(self, tiers: Sequence[Sequence[Choice]]) -> Choice | None:
-        if self._generator.random() >= EXPLORATION_SHARE:
-            return None
+    def _draw_exploration(self, is_shared: bool) -> bool:
+        share = SHARED_EXPLORATION_SHARE if is_shared else EXPLORATION_SHARE
+        return self._generator.random() < share
+
+    def _choose_explored(
+        self, tiers: Sequence[Sequence[Choice]], *, is_shared: bool
+    ) -> Choice | None:
         near = _list_explorable(tiers, within=Distance.SAME_FAILURE_DOMAIN)
         if not near or self._generator.random() >= OWN_DOMAIN_SHARE:
             near = _list_explorable(tiers, within=Distance.SAME_REGION)
+        if is_shared:
+            near = [choice for choice in near if choice.risk_age_s >= STALE_RISK_AGE_S]
         return self._generator.choice(near) if near else None
 
 
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -16,7 +16,7 @@
 """Factors on the free slots by condition; targets in other conditions count in full."""
 
 
-class Candidate(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class Candidate(msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False):
     """A target that can be selected, with what the front tracks of it."""
 
     target: TargetId
@@ -125,6 +125,22 @@
     return Distance.SAME_HOST
 
 
+def group_by_distance(
+    tiers: Sequence[Sequence[Choice]], locality: Locality
+) -> Sequence[Sequence[Choice]]:
+    """Return the targets by their distance from a host, nearest first.
+
+    Args:
+        tiers: The targets, grouped in any way.
+        locality: Locality of the host.
+    """
+    grouped: dict[Distance, list[Choice]] = {distance: [] for distance in Distance}
+    for tier in tiers:
+        for choice in tier:
+            grouped[measure_distance(locality, choice.candidate.locality)].append(choice)
+    return list(grouped.values())
+
+
 def is_usable(candidate: Candidate) -> bool:
     """Return whether a target may receive new attempts.
 
--- /dev/null
+++ b/tests/features/scheduling.feature
@@ -0,0 +1,63 @@
+Feature: One host selects the targets of a service for its neighbours
+  What one front sees of a target is old in a large fleet. The fronts of a failure domain or region
+  therefore ask the table of one host. It only advises: without it, each front selects on its own.
+
+  Scenario Outline: Fronts find the host to ask by the targets near them
+    Given hosts with <own> targets in failure domain r1/a and <other> in r1/b
+    And 3 more targets in region r2
+    When the fronts in r1/a find the host that selects for service "s"
+    Then all find the same host, which is <where>
+
+    Examples:
+      | own | other | where               |
+      | 6   | 6     | in r1/a             |
+      | 5   | 40    | in region r1        |
+      | 0   | 1     | in r1/b             |
+      | 0   | 0     | none                |
+
+  Scenario: The host to ask stays the same while others leave
+    Given hosts with 10 targets in failure domain r1/a and 0 in r1/b
+    When each host but the one to ask leaves in turn
+    Then the host to ask is the same as long as 6 targets are left
+
+  Scenario: Fronts that ask one host share its targets without collisions
+    Given a host that selects among 10 targets with 1 slot each
+    When 2 fronts select 5 targets each at the same time
+    Then the 10 targets are distinct
+
+  Scenario Outline: Targets that were selected for a front become free again
+    Given a host that selects among 10 targets with 1 slot each
+    When a front selects 10 targets, and then <end>
+    And 2 fronts select 5 targets each at the same time
+    Then the 10 targets are distinct
+
+    Examples:
+      | end                                      |
+      | its attempts end                         |
+      | its channel ends                         |
+
+  Scenario: A front passes on what its attempts show of a target
+    Given a host that selects among 10 targets with 1 slot each
+    When a front selects a target and learns that it is in a fault
+    Then the host selects other targets for the other fronts
+
+  Scenario: Without a reply in time a front selects by its own table
+    Given a host that selects among 10 targets with 1 slot each, and whose table stands still
+    When a front selects 8 targets one after the other
+    Then each is selected within 0.5 s, and all but the first within 0.05 s
+    And when the host's table goes on, 2 fronts that select 5 targets each get distinct ones
+
+  Scenario: Without a connection a front selects by its own table
+    Given a host that selects among 10 targets with 1 slot each, and that can't be reached
+    When a front selects 8 targets one after the other
+    Then each is selected within 0.5 s, and all but the first within 0.05 s
+
+  Scenario: A host that selects for others explores only targets that it hasn't heard of
+    Given 4 targets heard of 0.2 s ago, one heard of 5 s ago and one that is new, all in one domain
+    When 2000 targets are selected for reads, and 2000 for actions
+    Then the two others are explored by 5% to 15% of the reads, by about as many each, and by no action
+
+  Scenario: A host that selects for others explores nothing while it has heard of all targets
+    Given 6 targets heard of 0.2 s ago, of which one has the lowest risk
+    When 2000 targets are selected for reads, and 2000 for actions
+    Then that target is selected for all of them
--- a/tests/features/steps/channel_steps.py
+++ b/tests/features/steps/channel_steps.py
@@ -92,7 +92,7 @@
     async def main():
         pool = LinkPool(capacity=10)
         sender = AttemptChannels(pool, timers=MonotonicTimerService())
-        channels = DuplexHandler(RUN_ATTEMPTS, AttemptChannelServer(starter).serve)
+        channels = DuplexHandler(RUN_ATTEMPTS, AttemptChannelServer(starter, table=None).serve)
         with anyio.fail_after(TIMEOUT_S):
             async with anyio.create_task_group() as group:
                 group.start_soon(starter.run)
--- a/tests/features/steps/dump_steps.py
+++ b/tests/features/steps/dump_steps.py
@@ -45,6 +45,7 @@
     TrafficLimiter,
 )
 from samphirespring.request.selection import NearestOfTwoSelector
+from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import AccessSection, RateLimit, ServicePolicy
 
 TARGETS_PER_HOST = 9
@@ -137,7 +138,7 @@
     async def select(self, service):
         await ask(
             self.table.inbox,
-            lambda reply: SelectTarget(service=service, tried=(), reply=reply, idempotent=True),
+            lambda reply: SelectTarget(terms=SelectionTerms(service=service), reply=reply),
         )
 
     async def call(self, path, *, team=OPERATORS):
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -21,6 +21,7 @@
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.messages import Header, ResponseHead
 from samphirespring.request.selection import NearestOfTwoSelector
+from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import ResponseCheck
 
 NESTED = b"[" * 2_000 + b"]" * 2_000
@@ -141,7 +142,8 @@
             candidate = await ask(
                 table.inbox,
                 lambda reply: SelectTarget(
-                    service="orders", tried={"t0", "t1"}, reply=reply, idempotent=True
+                    terms=SelectionTerms(service="orders", tried=frozenset({"t0", "t1"})),
+                    reply=reply,
                 ),
             )
             group.cancel_scope.cancel()
--- a/tests/features/steps/paths_steps.py
+++ b/tests/features/steps/paths_steps.py
@@ -28,6 +28,7 @@
 )
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.selection import NearestOfTwoSelector
+from samphirespring.request.target_source import SelectionTerms
 
 STEP_S = 0.25
 SETTLE_CHECKPOINTS = 20
@@ -116,7 +117,9 @@
     async def attempt(self, *, responding):
         candidate = await ask(
             self.table.inbox,
-            lambda reply: SelectTarget(service="s", tried=(), reply=reply, idempotent=False),
+            lambda reply: SelectTarget(
+                terms=SelectionTerms(service="s", idempotent=False), reply=reply
+            ),
         )
         await self.end_attempt(candidate.target, responded=candidate.locality.host in responding)
         return candidate.locality.host
--- a/tests/features/steps/registry_reset_steps.py
+++ b/tests/features/steps/registry_reset_steps.py
@@ -10,6 +10,7 @@
 from samphirespring.process.targets import Locality, RegistryDelta
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.selection import NearestOfTwoSelector
+from samphirespring.request.target_source import SelectionTerms
 
 HERE = Locality(region="r", failure_domain="d", host="front")
 
@@ -63,7 +64,10 @@
                 else:
                     timers.advance(action)
                 await settle()
-            await ask(table.inbox, lambda reply: SelectTarget(service="s", tried=(), reply=reply))
+            await ask(
+                table.inbox,
+                lambda reply: SelectTarget(terms=SelectionTerms(service="s"), reply=reply),
+            )
             return (await table.dump()).hosts
 
     hosts = anyio.run(main)
--- a/tests/features/steps/request_decisions_steps.py
+++ b/tests/features/steps/request_decisions_steps.py
@@ -24,10 +24,12 @@
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.summaries import encode_log_latency
 from samphirespring.process.detection.target_evaluator import DetectionTerms
+from samphirespring.process.local_targets import LocalSelection
 from samphirespring.process.retry_budget import RetryBudget, RetryKind
 from samphirespring.process.settings import CallerLimits
 from samphirespring.request.attempt import Attempt
 from samphirespring.request.attempt_limit import compute_attempt_limit_s
+from samphirespring.request.body import EMPTY_BODY
 from samphirespring.request.exclusive_response_writer import ExclusiveResponseWriter
 from samphirespring.request.messages import ResponseEnd
 from samphirespring.request.retry import HELPER_MAX_ATTEMPTS, MAX_REFUSED_ATTEMPTS
@@ -502,7 +504,13 @@
     async def run(name):
         message = make_attempt_message(attempt=name, target="t0")
         candidate = SimpleNamespace(target="t0", link_address="")
-        attempt = Attempt(fleet.exchanges, message=message, candidate=candidate, response=response)
+        attempt = Attempt(
+            fleet.exchanges,
+            message=message,
+            body=EMPTY_BODY,
+            selection=LocalSelection(candidate, fleet.table.inbox),
+            response=response,
+        )
         context.results[name] = await attempt.run()
 
     async def main():
--- /dev/null
+++ b/tests/features/steps/scheduling_steps.py
@@ -0,0 +1,340 @@
+import random
+from collections import Counter
+from contextlib import AsyncExitStack
+
+import anyio
+import msgspec
+from behave import given, then, when
+
+from front.fakes import LOAD
+from samphirespring.connection.attempt_channel import RUN_ATTEMPTS
+from samphirespring.connection.channel_server import AttemptChannelServer
+from samphirespring.connection.link_pool import LinkPool
+from samphirespring.connection.link_server import DuplexHandler, serve_link
+from samphirespring.process.attempt_channels import AttemptChannels
+from samphirespring.process.local_targets import LocalTargetSource
+from samphirespring.process.scheduled_targets import ScheduledTargetSource
+from samphirespring.process.target_table import ApplyDelta, TargetTable, UseServicePolicies
+from samphirespring.process.targets import HostRecord, Locality, RegistryDelta, TargetRecord
+from samphirespring.process.timers import MonotonicTimerService
+from samphirespring.request.risk_selection import RiskSelector
+from samphirespring.request.scheduler_choice import choose_scheduler
+from samphirespring.request.selection import Candidate, Choice, NearestOfTwoSelector
+from samphirespring.request.target_source import SelectionTerms
+from samphirespring.version.document import ServicePolicy, SuspicionPolicy
+
+SERVICE = "s"
+ADDRESS = "127.0.0.1:26413"
+UNREACHABLE_ADDRESS = "127.0.0.1:1"
+TERMS = SelectionTerms(service=SERVICE, idempotent=False)
+POLICY = ServicePolicy(suspicion=SuspicionPolicy(share=0.3, span_s=2.7))
+LOAD_OF_ONE_SLOT = msgspec.structs.replace(LOAD, free_slots=1, slots=1, risk=0.01)
+FAULT_LOAD = msgspec.structs.replace(LOAD_OF_ONE_SLOT, risk=0.95)
+TIMEOUT_S = 15.0
+
+
+def make_locality(place, host):
+    region, _, domain = place.partition("/")
+    return Locality(region=region, failure_domain=f"{region}/{domain}", host=host)
+
+
+def make_candidates(place, count):
+    return [
+        Candidate(
+            target=f"t-{place}-{number}",
+            locality=make_locality(place, f"h-{place}-{number}"),
+            link_address=f"127.0.0.1:{number + 1}",
+            incarnation=1,
+            load=LOAD,
+            admissible=True,
+        )
+        for number in range(count)
+    ]
+
+
+@given("hosts with {own:d} targets in failure domain r1/a and {other:d} in r1/b")
+def step_make_candidates(context, own, other):
+    context.candidates = make_candidates("r1/a", own) + make_candidates("r1/b", other)
+
+
+@given("{count:d} more targets in region r2")
+def step_make_more(context, count):
+    context.candidates += make_candidates("r2/a", count)
+
+
+def find_scheduler(candidates, host):
+    return choose_scheduler(SERVICE, candidates, locality=make_locality("r1/a", host))
+
+
+@when('the fronts in r1/a find the host that selects for service "s"')
+def step_find(context):
+    orders = [random.Random(seed) for seed in range(5)]
+    context.found = [
+        find_scheduler(order.sample(context.candidates, len(context.candidates)), f"front-{number}")
+        for number, order in enumerate(orders)
+    ]
+
+
+@then("all find the same host, which is {where}")
+def step_check_found(context, where):
+    (found,) = set(context.found)
+    if where == "none":
+        assert found is None, found
+    else:
+        assert found.host.startswith(f"h-{where.split()[-1]}"), found
+
+
+@when("each host but the one to ask leaves in turn")
+def step_leave(context):
+    context.found = []
+    candidates = list(context.candidates)
+    while len(candidates) >= 6:
+        peer = find_scheduler(candidates, "front")
+        context.found.append(peer)
+        candidates.remove(next(c for c in candidates if c.locality.host != peer.host))
+
+
+@then("the host to ask is the same as long as 6 targets are left")
+def step_check_same(context):
+    assert len(context.found) == 5 and len(set(context.found)) == 1, context.found
+
+
+class Scheduling:
+    """A host that selects targets, and fronts that ask it over links."""
+
+    def __init__(self, *, targets, address=ADDRESS, stands_still=False):
+        self.timers = MonotonicTimerService()
+        self.address = address
+        self.stands_still = stands_still
+        self.records = tuple(
+            HostRecord(
+                locality=make_locality("r1/a", f"h{number}"),
+                incarnation=1,
+                link_address=address,
+                sequence=1,
+                targets=(
+                    TargetRecord(target=f"t{number}", service=SERVICE, load=LOAD_OF_ONE_SLOT),
+                ),
+            )
+            for number in range(targets)
+        )
+        self.table = self.make_table("host")
+
+    def make_table(self, host):
+        table = TargetTable(
+            NearestOfTwoSelector(random.Random(1)),
+            locality=make_locality("r1/a", host),
+            timers=self.timers,
+            generator=random.Random(2),
+        )
+        delta = RegistryDelta(since=0, version=2, complete=True, hosts=self.records)
+        table.inbox.post(ApplyDelta(delta=delta))
+        table.inbox.post(UseServicePolicies(policies={SERVICE: POLICY}))
+        return table
+
+    def run(self, call):
+        """Return the result of `call(self)`, made while the host serves links."""
+
+        async def main():
+            channels = DuplexHandler(
+                RUN_ATTEMPTS, AttemptChannelServer(None, table=self.table.inbox).serve
+            )
+            with anyio.fail_after(TIMEOUT_S):
+                async with anyio.create_task_group() as self.group, AsyncExitStack() as self.stack:
+                    if not self.stands_still:
+                        self.group.start_soon(self.table.run)
+                    await self.stack.enter_async_context(serve_link([channels], address=ADDRESS))
+                    result = await call(self)
+                    await self.stack.aclose()
+                    self.group.cancel_scope.cancel()
+            return result
+
+        return anyio.run(main)
+
+    async def start_front(self, name):
+        """Return a source of targets with a table and channels of its own, and its links."""
+        links = LinkPool(capacity=10)
+        self.stack.callback(links.close)
+        channels = AttemptChannels(links, timers=self.timers)
+        table = self.make_table(name)
+        self.group.start_soon(channels.run)
+        self.group.start_soon(table.run)
+        await anyio.wait_all_tasks_blocked()
+        source = ScheduledTargetSource(
+            LocalTargetSource(table.inbox),
+            table=table.inbox,
+            find_channel=channels.find_channel,
+            locality=make_locality("r1/a", name),
+            timers=self.timers,
+        )
+        return source, links
+
+    async def select_at_once(self, *, fronts, each):
+        """Return the targets that fronts select while they hold all of them."""
+        selected = []
+        sources = [(await self.start_front(f"front-{n}"))[0] for n in range(fronts)]
+        async with AsyncExitStack() as stack:
+            for _ in range(each):
+                for source in sources:
+                    selection = await stack.enter_async_context(source.select(TERMS))
+                    selected.append(selection.candidate.target)
+        return selected
+
+
+@given("a host that selects among {count:d} targets with 1 slot each")
+def step_make_host(context, count):
+    context.scheduling = Scheduling(targets=count)
+    context.before = None
+
+
+@given("a host that selects among {count:d} targets with 1 slot each, and whose table stands still")
+def step_make_still_host(context, count):
+    context.scheduling = Scheduling(targets=count, stands_still=True)
+
+
+@given("a host that selects among {count:d} targets with 1 slot each, and that can't be reached")
+def step_make_unreachable_host(context, count):
+    context.scheduling = Scheduling(targets=count, address=UNREACHABLE_ADDRESS)
+
+
+@when("a front selects {count:d} targets, and then {end}")
+def step_select_before(context, count, end):
+    async def before(scheduling):
+        source, links = await scheduling.start_front("earlier")
+        async with AsyncExitStack() as stack:
+            selected = set()
+            for _ in range(count):
+                selection = await stack.enter_async_context(source.select(TERMS))
+                selected.add(selection.candidate.target)
+            assert len(selected) == count, selected
+            if end == "its channel ends":
+                links.close()
+                await anyio.sleep(0.2)
+        await anyio.sleep(0.2)
+
+    context.before = before
+
+
+@when("{fronts:d} fronts select {each:d} targets each at the same time")
+def step_select(context, fronts, each):
+    async def call(scheduling):
+        if context.before is not None:
+            await context.before(scheduling)
+        return await scheduling.select_at_once(fronts=fronts, each=each)
+
+    context.selected = context.scheduling.run(call)
+
+
+@then("the {count:d} targets are distinct")
+def step_check_distinct(context, count):
+    assert len(set(context.selected)) == len(context.selected) == count, context.selected
+
+
+@when("a front selects a target and learns that it is in a fault")
+def step_learn(context):
+    async def call(scheduling):
+        source, _ = await scheduling.start_front("learner")
+        async with source.select(TERMS) as selection:
+            context.faulty = selection.candidate.target
+            selection.report_load(FAULT_LOAD)
+        await anyio.sleep(0.2)
+        return await scheduling.select_at_once(fronts=3, each=3)
+
+    context.selected = context.scheduling.run(call)
+
+
+@then("the host selects other targets for the other fronts")
+def step_check_learned(context):
+    assert len(context.selected) == 9 and context.faulty not in context.selected, (
+        context.faulty,
+        context.selected,
+    )
+
+
+@when("a front selects {count:d} targets one after the other")
+def step_select_in_turn(context, count):
+    async def call(scheduling):
+        source, _ = await scheduling.start_front("front")
+        durations_s = []
+        for _ in range(count):
+            started_at_s = anyio.current_time()
+            async with source.select(TERMS) as selection:
+                assert selection is not None
+                durations_s.append(anyio.current_time() - started_at_s)
+        context.durations_s = durations_s
+        if scheduling.stands_still:
+            scheduling.group.start_soon(scheduling.table.run)
+            await anyio.sleep(0.2)
+            context.selected = await scheduling.select_at_once(fronts=2, each=5)
+
+    context.scheduling.run(call)
+
+
+@then("each is selected within {longest_s:g} s, and all but the first within {others_s:g} s")
+def step_check_durations(context, longest_s, others_s):
+    first_s, *rest_s = context.durations_s
+    assert first_s <= longest_s and max(rest_s) <= others_s, context.durations_s
+
+
+@then(
+    "when the host's table goes on, {fronts:d} fronts that select {each:d} targets each get"
+    " distinct ones"
+)
+def step_check_later(context, fronts, each):
+    assert len(set(context.selected)) == len(context.selected) == fronts * each, context.selected
+
+
+def make_choices(ages_s):
+    candidates = make_candidates("r1/a", len(ages_s))
+    return [
+        Choice(
+            candidate=candidate, free_slots=5.0, risk=0.01 if age_s < 1.0 else 0.3, risk_age_s=age_s
+        )
+        for candidate, age_s in zip(candidates, ages_s, strict=True)
+    ]
+
+
+@given(
+    "{count:d} targets heard of {age_s:g} s ago, one heard of {old_age_s:g} s ago and one that is"
+    " new, all in one domain"
+)
+def step_make_choices(context, count, age_s, old_age_s):
+    context.choices = make_choices([age_s] * count + [old_age_s, float("inf")])
+
+
+@given("{count:d} targets heard of {age_s:g} s ago, of which one has the lowest risk")
+def step_make_fresh_choices(context, count, age_s):
+    best, *others = make_choices([age_s] * count)
+    risky = [msgspec.structs.replace(choice, risk=0.2) for choice in others]
+    context.choices = [best, *risky]
+
+
+@when("{count:d} targets are selected for reads, and {actions:d} for actions")
+def step_select_many(context, count, actions):
+    selector = RiskSelector(random.Random(1))
+    tiers = [[], context.choices, [], []]
+
+    def select(idempotent):
+        return selector.choose(tiers, tried=(), idempotent=idempotent, is_shared=True).target
+
+    context.for_reads = Counter(select(True) for _ in range(count))
+    context.for_actions = Counter(select(False) for _ in range(actions))
+
+
+@then(
+    "the two others are explored by {least:d}% to {most:d}% of the reads, by about as many each,"
+    " and by no action"
+)
+def step_check_explored(context, least, most):
+    *_, old, new = (choice.candidate.target for choice in context.choices)
+    reads = context.for_reads
+    share = (reads[old] + reads[new]) / reads.total()
+    assert least / 100 <= share <= most / 100, reads
+    assert 0.6 <= reads[old] / reads[new] <= 1.6, reads
+    assert not context.for_actions[old] and not context.for_actions[new], context.for_actions
+
+
+@then("that target is selected for all of them")
+def step_check_best(context):
+    best = context.choices[0].candidate.target
+    assert set(context.for_reads) == set(context.for_actions) == {best}, context.for_reads
--- a/tests/fleet/soak_edits.py
+++ b/tests/fleet/soak_edits.py
@@ -37,7 +37,6 @@
         self.accepted_count = 0
         self.unresolved_count = 0
         self.last_version = 0
-        self.in_force_s: list[float] = []
         self.violations: list[str] = []
 
     async def run(self) -> None:
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -16,6 +16,7 @@
 from samphirespring.process.ledger.action_ledger import ActionLedger
 from samphirespring.process.ledger.claim_state_machine import ClaimStateMachine
 from samphirespring.process.ledger.fencer import AttemptFencer
+from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.metric_names import make_metric_name
 from samphirespring.process.metrics import NullMetrics
 from samphirespring.process.replication.state_machine import LocalProposer
@@ -263,6 +264,7 @@
         self.exchanges = exchanges = ExchangeContext(
             sender=self.sender,
             table=self.table.inbox,
+            targets=LocalTargetSource(self.table.inbox),
             traffic_limiter=self.traffic.inbox,
             timers=self.timers,
             metrics=self.metrics,
--- a/tests/front/stalling_pool.py
+++ b/tests/front/stalling_pool.py
@@ -27,6 +27,7 @@
 from samphirespring.process.timers import MonotonicTimerService
 from samphirespring.request.messages import AttemptRequest, ResponseChunk, ResponseHead
 from samphirespring.request.selection import NearestOfTwoSelector
+from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import DetectionPolicy, ResponseCheck, ServicePolicy
 from samphirespring.version.states import PriorityClass
 
@@ -174,7 +175,7 @@
     async def _send(self, attempt):
         candidate = await ask(
             self.table.inbox,
-            lambda reply: SelectTarget(service=SERVICE, tried=(), reply=reply),
+            lambda reply: SelectTarget(terms=SelectionTerms(service=SERVICE), reply=reply),
         )
         if candidate is None:
             return
