Raise an exchange's error unwrapped while a body is being sent

Change: the exception is kept inside the task group and raised outside. The hedge already did so; the other task groups of connection/ and request/ hold no exception of an exchange.

--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -142,14 +142,24 @@
 
 @asynccontextmanager
 async def _running(upload: BodyUpload | None) -> AsyncIterator[None]:
-    """Run an upload while the context is open; leaving ends it."""
+    """Run an upload while the context is open; leaving ends it.
+
+    An exception from inside the context leaves it as it is: a task group would wrap it, and no
+    handler of the exchange would recognize it.
+    """
     if upload is None:
         yield
         return
+    error: Exception | None = None
     async with anyio.create_task_group() as group:
         group.start_soon(upload.run)
-        yield
+        try:
+            yield
+        except Exception as raised:
+            error = raised
         group.cancel_scope.cancel()
+    if error is not None:
+        raise error
 
 
 def _make_head(request: AttemptRequest, parsed: ParsedHead) -> ResponseHead:
--- a/tests/features/responses.feature
+++ b/tests/features/responses.feature
@@ -55,3 +55,26 @@
     Given a backend server that drops connections without notice after 0.3 s
     When 6 requests are sent, one every 0.45 s
     Then at most 1 of them fails
+
+  Scenario Outline: A backend server fails while it is sent a long body
+    Given a backend server that <behaviour> once it has read 64 KiB of a body
+    When a body of 4 MiB is sent to it, <pace>
+    Then the result is <result>, and the connection isn't used again
+
+    Examples:
+      | behaviour                        | pace               | result                    |
+      | resets the connection            | as fast as it goes | reset                     |
+      | resets the connection            | and then stops     | reset                     |
+      | closes the connection            | and then stops     | reset                     |
+      | sends half a response and closes | and then stops     | cut                       |
+      | responds and closes              | and then stops     | the complete body "hello" |
+
+  Scenario: A caller that leaves in the middle of a long body ends the exchange
+    Given a backend server that reads the whole body and responds
+    When a body of 4 MiB is sent to it, whose caller leaves after 1 MiB
+    Then the result is cancelled, and the connection isn't used again
+
+  Scenario: A response before the end of a long body is passed on
+    Given a backend server that responds once it has read 64 KiB of a body
+    When a body of 4 MiB is sent to it, and then stops
+    Then the result is the complete body "hello", and the connection isn't used again
--- a/tests/features/steps/responses_steps.py
+++ b/tests/features/steps/responses_steps.py
@@ -1,3 +1,5 @@
+from contextlib import suppress
+
 import anyio
 from behave import given, then, when
 
@@ -9,6 +11,7 @@
     reset,
 )
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
+from samphirespring.request.body import BodyAbortedError, BodySource
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -25,9 +28,9 @@
 }
 
 
-def run(context, script, call, dialect=None):
+def run(context, script, call, dialect=None, *, reads_bodies=True):
     """Await `call(agent, backend)` while a backend server with the script runs."""
-    context.backend = ScriptedBackend(script)
+    context.backend = ScriptedBackend(script, reads_bodies=reads_bodies)
 
     async def main():
         with anyio.fail_after(TIMEOUT_S):
@@ -195,3 +198,105 @@
 def step_check_series(context, count):
     failed = [result for result in context.result if result != (200, b"ok")]
     assert len(failed) <= count, context.result
+
+
+PART = b"u" * 65_536
+HELLO = HEAD + b"Content-Length: 5\r\n\r\nhello"
+
+
+class ScriptedBody(BodySource):
+    """Sends a body in parts, and stops, or ends early, after some of them."""
+
+    def __init__(self, size_bytes, *, stops_after=None, ends_after=None):
+        self.size_bytes = size_bytes
+        self.stops_after = stops_after
+        self.ends_after = ends_after
+
+    async def iterate(self):
+        for sent in range(0, self.size_bytes, len(PART)):
+            if self.stops_after is not None and sent >= self.stops_after:
+                await anyio.sleep_forever()
+            if self.ends_after is not None and sent >= self.ends_after:
+                raise BodyAbortedError("the caller left")
+            yield PART
+
+
+async def read_body(stream, size_bytes):
+    """Read until a part of a body has arrived; its head was read before."""
+    received = 0
+    with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while received < size_bytes:
+            received += len(await stream.receive())
+
+
+async def end_upload(backend, stream, behaviour):
+    if behaviour == "resets the connection":
+        reset(stream)
+        await stream.aclose()
+    elif behaviour == "closes the connection":
+        await stream.aclose()
+    elif behaviour == "sends half a response and closes":
+        await backend.send(stream, HELLO[:-2])
+        await stream.aclose()
+    elif behaviour == "responds and closes":
+        await backend.send(stream, HELLO)
+        await stream.aclose()
+    elif behaviour == "responds":
+        await backend.send(stream, HELLO)
+    else:
+        raise NotImplementedError(behaviour)
+
+
+@given("a backend server that {behaviour} once it has read {size:d} KiB of a body")
+def step_failing_reader(context, behaviour, size):
+    async def script(backend, stream, _):
+        await read_body(stream, size << 10)
+        await end_upload(backend, stream, behaviour)
+        await read_body(stream, float("inf"))
+
+    context.upload_script = script
+
+
+@given("a backend server that reads the whole body and responds")
+def step_whole_reader(context):
+    async def script(backend, stream, _):
+        await read_body(stream, float("inf"))
+
+    context.upload_script = script
+
+
+def upload(context, size, **terms):
+    async def call(agent, backend):
+        body = ScriptedBody(size << 20, **terms)
+        result = await agent.exchange(backend, body=body, body_follows=True, body_length=size << 20)
+        await backend.closed.wait()
+        return result
+
+    run(context, context.upload_script, call, reads_bodies=False)
+
+
+@when("a body of {size:d} MiB is sent to it, as fast as it goes")
+def step_upload(context, size):
+    upload(context, size)
+
+
+@when("a body of {size:d} MiB is sent to it, and then stops")
+def step_stopping_upload(context, size):
+    upload(context, size, stops_after=262_144)
+
+
+@when("a body of {size:d} MiB is sent to it, whose caller leaves after {part:d} MiB")
+def step_left_upload(context, size, part):
+    upload(context, size, ends_after=part << 20)
+
+
+@then("the result is {kind:w}, and the connection isn't used again")
+def step_check_upload_failed(context, kind):
+    assert context.result is FAILURE_KINDS[kind], context.result
+    assert context.backend.closed.is_set()
+
+
+@then('the result is the complete body "{body}", and the connection isn\'t used again')
+def step_check_upload_complete(context, body):
+    assert context.result == (200, body.encode()), context.result
+    assert context.backend.closed.is_set()
--- a/tests/front/scripted_backend.py
+++ b/tests/front/scripted_backend.py
@@ -20,8 +20,9 @@
 class ScriptedBackend:
     """Accepts connections and passes each request to a script, which writes the response."""
 
-    def __init__(self, script):
+    def __init__(self, script, *, reads_bodies=True):
         self.script = script
+        self.reads_bodies = reads_bodies
         self.connections = 0
         self.sent_bytes = 0
         self.requests = []
@@ -48,7 +49,7 @@
                     while b"\r\n\r\n" not in data:
                         data += await stream.receive()
                     head, _, data = data.partition(b"\r\n\r\n")
-                    length = read_length(head)
+                    length = read_length(head) if self.reads_bodies else None
                     while length is not None and len(data) < length:
                         data += await stream.receive()
                     body, data = data[: length or 0], data[length or 0 :]
@@ -122,4 +123,8 @@
         return status, b"".join(parts)
 
 
-FAILURE_KINDS = {"reset": FailureKind.RESET, "cut": FailureKind.CUT}
+FAILURE_KINDS = {
+    "reset": FailureKind.RESET,
+    "cut": FailureKind.CUT,
+    "cancelled": FailureKind.CANCELLED,
+}
