Keep long bodies in their region unless another one is much safer

Change: the cost of another region grows with the body, by up to 0.25 at 50 kB. Feature suspicion (6 cases).

--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -332,6 +332,7 @@
                 idempotent=terms.idempotent,
                 suspected=terms.suspected,
                 is_shared=message.is_shared,
+                body_bytes=terms.body_bytes,
             )
         if candidate is None:
             return None
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -173,7 +173,10 @@
     async def _choose(self, step: ChooseTarget) -> ActionEvent:
         await self._acquired_target.aclose()
         terms = SelectionTerms(
-            service=self._policy.service, idempotent=False, tried=frozenset(step.tried)
+            service=self._policy.service,
+            idempotent=False,
+            tried=frozenset(step.tried),
+            body_bytes=self._request.body.length or 0,
         )
         selection = await self._acquired_target.enter_async_context(
             self._context.exchange.targets.select(terms)
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -151,6 +151,7 @@
             tried=tried,
             idempotent=self._policy.idempotent,
             suspected=frozenset(self._suspected),
+            body_bytes=self._request.body.length or 0,
         )
         async with self._context.targets.select(terms) as selection:
             if selection is None:
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -22,6 +22,11 @@
 }
 """Cost of the distance to a target, as the equivalent probability of failure."""
 
+LONG_BODY_BYTES = 50_000
+LONG_BODY_COST = 0.25
+"""Added cost of another region for a body of `LONG_BODY_BYTES` or more; shorter ones cost their
+share. It takes long to send, and connections between regions are shared by all."""
+
 BUSY_COST = 0.02
 """Cost of a target with all but one slot in use; it falls as the share of free slots grows."""
 
@@ -88,6 +93,7 @@
         idempotent: bool,
         suspected: Collection[TargetId] = (),
         is_shared: bool = False,
+        body_bytes: int = 0,
     ) -> Candidate | None:
         """Return the target for the next attempt, or None if there is none.
 
@@ -97,9 +103,17 @@
             idempotent: Whether the request may be repeated.
             suspected: Targets that refused the request because others seemed better.
             is_shared: Whether many fronts ask, so that the reports tell of all their attempts.
+            body_bytes: Length of the request's body.
         """
+        distance_costs = _compute_distance_costs(body_bytes)
         costs = [
-            _evaluate(choice, distance, tried, tie_breaker=self._generator.random())
+            _evaluate(
+                choice,
+                distance,
+                tried,
+                distance_cost=distance_costs[distance],
+                tie_breaker=self._generator.random(),
+            )
             for distance, tier in zip(Distance, tiers, strict=True)
             for choice in tier
         ]
@@ -166,10 +180,23 @@
     return best.choice, max(MIN_RISK_LIMIT, risk_limit)
 
 
+def _compute_distance_costs(body_bytes: int) -> dict[Distance, float]:
+    if not body_bytes:
+        return DISTANCE_COSTS
+    body_cost = LONG_BODY_COST * min(1.0, body_bytes / LONG_BODY_BYTES)
+    other_region = DISTANCE_COSTS[Distance.OTHER_REGION] + body_cost
+    return DISTANCE_COSTS | {Distance.OTHER_REGION: other_region}
+
+
 def _evaluate(
-    choice: Choice, distance: Distance, tried: Collection[TargetId], *, tie_breaker: float
+    choice: Choice,
+    distance: Distance,
+    tried: Collection[TargetId],
+    *,
+    distance_cost: float,
+    tie_breaker: float,
 ) -> _Cost:
-    value = _compute_cost(choice, distance, tried)
+    value = _compute_cost(choice, tried) + distance_cost
     optimistic_value = value - _estimate_improvement(choice, distance)
     return _Cost(
         value=value, optimistic_value=optimistic_value, tie_breaker=tie_breaker, choice=choice
@@ -197,8 +224,9 @@
     return max(0.0, _get_risk(choice) - OPTIMISTIC_RISK)
 
 
-def _compute_cost(choice: Choice, distance: Distance, tried: Collection[TargetId]) -> float:
-    cost = _get_risk(choice) + DISTANCE_COSTS[distance]
+def _compute_cost(choice: Choice, tried: Collection[TargetId]) -> float:
+    """Return the cost of a target other than that of its distance."""
+    cost = _get_risk(choice)
     slots = choice.candidate.load.slots
     if choice.free_slots < 1.0:
         cost += FULL_COST
--- a/src/samphirespring/request/target_source.py
+++ b/src/samphirespring/request/target_source.py
@@ -19,12 +19,14 @@
         tried: Targets that already failed or refused the request.
         suspected: Targets that refused it because they may be faulty and others seemed better.
         idempotent: Whether the request is idempotent; others never go to targets on trial.
+        body_bytes: Length of the request's body; 0 if it isn't known.
     """
 
     service: ServiceName
     tried: frozenset[TargetId] = frozenset()
     suspected: frozenset[TargetId] = frozenset()
     idempotent: bool = True
+    body_bytes: int = 0
 
     @property
     def is_first(self) -> bool:
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -137,6 +137,26 @@
     return RiskSelector(random.Random(1)).choose(context.tiers, tried=(), idempotent=False)
 
 
+@given(
+    "a target in the own region with a risk of {risk:g} and one in another region with {other:g}"
+)
+def step_two_regions(context, risk, other):
+    own = make_choice("own", risk=risk, free=SLOTS)
+    context.tiers = [[], [], [own], [make_choice("other", risk=other, free=SLOTS)]]
+
+
+@when("a target is selected for an action with a body of {size:d} kB")
+def step_select_for_body(context, size):
+    context.candidate = RiskSelector(random.Random(1)).choose(
+        context.tiers, tried=(), idempotent=False, body_bytes=size * 1_000
+    )
+
+
+@then("it is the one in the {region:w} region")
+def step_check_region(context, region):
+    assert context.candidate.target == region, context.candidate
+
+
 @then('an action goes to "{name}", which refuses it above a risk of about {risk:g}')
 def step_check_choice(context, name, risk):
     chosen = choose_action(context)
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -80,6 +80,20 @@
     Then each service receives its share within 2 percentage points
     And the same holds for 36 fronts with 55 requests each
 
+  Scenario Outline: A long body leaves its region only for a much safer target
+    Given a target in the own region with a risk of <risk> and one in another region with 0.01
+    When a target is selected for an action with a body of <size> kB
+    Then it is the one in the <region> region
+
+    Examples:
+      | risk | size | region |
+      | 0.10 | 0    | own    |
+      | 0.30 | 0    | other  |
+      | 0.30 | 10   | other  |
+      | 0.30 | 50   | own    |
+      | 0.30 | 5000 | own    |
+      | 0.60 | 5000 | other  |
+
   Scenario: Writing log lines never blocks on their reader
     Given a log whose reader reads nothing
     When 10000 lines are written
