--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from deployment import (  # noqa: E402
+from deployment import (
     BROKEN,
     HELD,
     CaseError,
@@ -19,6 +19,7 @@
     has_trouble,
     make_configuration,
     make_route,
+    read_message,
     run_case,
 )
 
@@ -45,8 +46,7 @@
         self.copies = 0
 
     async def serve_connection(self, reader, writer) -> None:
-        from deployment import read_message
-
+        """Serve one connection; a late copy goes before the next answer."""
         late_copy = b""
         while True:
             first, headers, body = await read_message(reader)
@@ -64,6 +64,7 @@
             await writer.drain()
 
     def refuse(self, message: Message) -> bytes | None:
+        """Shed one order in `SHED_EVERY`."""
         refusal = super().refuse(message)
         if refusal is not None or not message.path.startswith("/orders/"):
             return refusal
@@ -76,6 +77,7 @@
 
 
 async def main(record, make) -> int:
+    """Run the case and return its exit status."""
     deployment = make(sidecars=["orders", "recipes"])
     for machine in (*deployment.cores, *deployment.sidecars):
         deployment.start(machine)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,13 +1,14 @@
-"""Three planned replacements of core machines, 2 s apart, end the group for good."""
+"""Three planned replacements of core machines, 2.3 s apart, end the group for good."""
 
 import asyncio
 import json
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from deployment import (  # noqa: E402
+from deployment import (
     BROKEN,
     HELD,
     CaseError,
@@ -41,6 +42,7 @@
 
 
 async def main(record, make) -> int:
+    """Run the case and return its exit status."""
     deployment = make(sidecars=["orders"], cores=5, spares=REPLACED)
     operator = Operator(deployment)
     for machine in (*deployment.cores, *deployment.sidecars):
@@ -79,8 +81,6 @@
 
 async def _stop(deployment, machine: Machine) -> None:
     """Stop a machine as planned, and wait for its end."""
-    import signal
-
     deployment.send_signal(machine, signal.SIGTERM)
     await asyncio.to_thread(machine.process.wait, 6.0)
     deployment.record.write(f"{machine.name} has ended")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from deployment import (  # noqa: E402
+from deployment import (
     BROKEN,
     HELD,
     CaseError,
@@ -32,6 +32,7 @@
 
 
 async def main(record, make) -> int:
+    """Run the case and return its exit status."""
     deployment = make(sidecars=["orders", "orders", *["recipes"] * 4])
     for machine in (*deployment.cores, *deployment.sidecars):
         deployment.start(machine)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from deployment import (  # noqa: E402
+from deployment import (
     BROKEN,
     HELD,
     CaseError,
@@ -31,6 +31,7 @@
 
 
 async def main(record, make) -> int:
+    """Run the case and return its exit status."""
     deployment = make(sidecars=["orders", "orders", "recipes"], bounds={"grace": "10s"})
     for machine in (*deployment.cores, *deployment.sidecars):
         deployment.start(machine)
@@ -51,7 +52,9 @@
     await asyncio.sleep(FIRST_REQUEST_S)
     async with asyncio.TaskGroup() as tasks:
         for _ in range(REQUESTS):
-            tasks.create_task(client.request("POST", "/orders/kit", b"kit", deadline_ms=DEADLINE_MS))
+            tasks.create_task(
+                client.request("POST", "/orders/kit", b"kit", deadline_ms=DEADLINE_MS)
+            )
             await asyncio.sleep(INTERVAL_S)
         sent_s = record.now() - stopped_s
     ended_s = record.now() - stopped_s
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -49,9 +49,11 @@
         self._start_s = time.monotonic()
 
     def now(self) -> float:
+        """Return the time since the start, in seconds."""
         return time.monotonic() - self._start_s
 
     def write(self, text: str) -> None:
+        """Write one line."""
         self._file.write(f"{self.now():8.3f} {text}\n")
 
 
@@ -126,6 +128,7 @@
         raise CaseError("no free loopback addresses")
 
     def address(self, machine: Machine, name: str) -> str:
+        """Return the address at which a machine serves something."""
         return f"{machine.ip}:{self.ports[name]}"
 
     def add_core(self, name: str = "") -> Machine:
@@ -173,14 +176,17 @@
         }  # fmt: skip
 
     def send_signal(self, machine: Machine, number: signal.Signals) -> None:
+        """Send a signal to the process of a machine."""
         self.record.write(f"signal {number.name} to {machine.name}")
         machine.process.send_signal(number)
 
     def kill(self, machine: Machine) -> None:
+        """Kill the process of a machine."""
         self.send_signal(machine, signal.SIGKILL)
         machine.process.wait()
 
     def check_running(self) -> None:
+        """Raise an error if a process of a machine in use has ended."""
         for machine in (*self.cores, *self.sidecars):
             if machine.process is not None and machine.process.poll() is not None:
                 log = (self.folder / f"{machine.name}.log").read_text()[-2000:]
@@ -202,6 +208,7 @@
         raise CaseError(f"{machine.name} isn't ready")
 
     def keep_logs(self, folder: Path) -> None:
+        """Copy the logs of all processes to a folder."""
         for log in self.folder.glob("*.log"):
             (folder / log.name).write_bytes(log.read_bytes())
 
@@ -270,12 +277,13 @@
         await reader.readuntil(b"\r\n")
     elif "content-length" in headers:
         body = await reader.readexactly(int(headers["content-length"]))
-    elif first.startswith("HTTP/") and not first.split()[1] in ("204", "304"):
+    elif first.startswith("HTTP/") and first.split()[1] not in ("204", "304"):
         body = await reader.read()
     return first, headers, body
 
 
 def encode_request(method: str, path: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """Return the bytes of a request."""
     lines = [f"{method} {path} HTTP/1.1"] + [f"{k}: {v}" for k, v in headers.items()]
     if body or method == "POST":
         lines.append(f"content-length: {len(body)}")
@@ -313,6 +321,7 @@
         return (await self._call("POST", "/api/config/replace", headers, body, limit_s)).status
 
     async def read(self, *, limit_s: float = 30.0) -> Answer:
+        """Read the configuration until there is a clear answer."""
         return await self._call("GET", "/api/config/read", {}, b"", limit_s)
 
     async def _call(
@@ -343,6 +352,7 @@
 
 
 def make_route(name: str, prefix: str, kind: str, service: str, **more: object) -> dict:
+    """Return a route of a configuration."""
     spec = {
         "host": "shop.example", "path-prefix": prefix, "kind": kind, "timeout": "3000ms",
         "aim": "1000ms", "priority": 1, "max-attempts": 2, "service": service, **more,
@@ -351,6 +361,7 @@
 
 
 def make_configuration(version: int, services: list[str], routes: list[dict]) -> dict:
+    """Return a whole configuration."""
     spec = {"health-path": "/health", "max-connections": 330, "protocol": "h1", "tls": False}
     limits = {
         "max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms",
@@ -386,11 +397,13 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
+        """Serve requests and send heartbeats."""
         port = self.deployment.ports["app"]
         self._server = await asyncio.start_server(self._serve, self.machine.ip, port)
         self._beats = asyncio.create_task(self._beat_repeatedly())
 
     async def stop(self) -> None:
+        """Stop serving."""
         self.stop_beats()
         if self._server is not None:
             self._server.close()
@@ -398,6 +411,7 @@
             writer.close()
 
     def stop_beats(self) -> None:
+        """Send no more heartbeats."""
         if self._beats is not None:
             self._beats.cancel()
 
@@ -473,10 +487,9 @@
         return None
 
     async def run(self, message: Message) -> bytes:
+        """Run a request and return its answer."""
         request = message.headers["x-request-id"]
-        self.runs.append(
-            (self.record.now(), request, message.headers.get("x-caller-service", ""))
-        )
+        self.runs.append((self.record.now(), request, message.headers.get("x-caller-service", "")))
         self.record.write(f"run {request} {message.method} {message.path} at {self.id}")
         await asyncio.sleep(self.work_s)
         seal = f"{self.id}.{len(self.runs)}"
@@ -484,6 +497,7 @@
 
 
 def encode_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Return the bytes of an answer."""
     lines = [f"HTTP/1.1 {status} Status"] + [f"{k}: {v}" for k, v in headers.items()]
     lines += [f"content-length: {len(body)}", "keep-alive: timeout=10", "", ""]
     return "\r\n".join(lines).encode() + body
@@ -541,7 +555,7 @@
     status = NOT_RUN
     try:
         status = asyncio.run(guarded())
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         record.write(f"the case couldn't run: {error!r}")
         print(f"the case couldn't run: {error!r}")
     finally:
