--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -20,6 +20,9 @@
 ACCEPTED_REQUEST_TIMEOUT_S = 0.3
 """Time for a just accepted connection to send a request while the server stops, in seconds."""
 
+EXIT_DELAY_S = 0.1
+"""Time that the library waits before it looks whether requests are in flight, in seconds."""
+
 
 class _EmbeddedServer(uvicorn.Server):
     """Server for a process that handles signals itself."""
@@ -27,6 +30,8 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self._exit_requested = anyio.Event()
+        self.cancelled_count = 0
+        """Number of requests that were cancelled when the drain timeout expired."""
 
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -38,11 +43,22 @@
         await self.on_tick(0)
         await self._exit_requested.wait()
 
-    def request_exit(self) -> None:
-        """Exit once the requests in flight have finished."""
+    def request_exit(self, *, timeout_s: float) -> None:
+        """Exit once the requests in flight have finished.
+
+        Args:
+            timeout_s: Time after which requests that still run are cancelled, in seconds.
+        """
+        # The library passes the value to `asyncio.timeout`, which takes fractions of a second.
+        self.config.timeout_graceful_shutdown = max(0.0, timeout_s)  # type: ignore[assignment]
         self.should_exit = True
         self._exit_requested.set()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Wait for the requests in flight, and count those that the timeout cancels."""
+        await super().shutdown(sockets)
+        self.cancelled_count = len(self.server_state.tasks)
+
 
 class HttpServer:
     """One listening HTTP server of the process.
@@ -50,14 +66,27 @@
     Args:
         server: The uvicorn server.
         listeners: The listening sockets, which the server closes.
+        drain_timeout_s: Longest time from `stop` to the end of the last request, in seconds.
     """
 
-    def __init__(self, server: _EmbeddedServer, listeners: Sequence[socket.socket]) -> None:
+    def __init__(
+        self,
+        server: _EmbeddedServer,
+        listeners: Sequence[socket.socket],
+        *,
+        drain_timeout_s: float,
+    ) -> None:
         self._server = server
         self._listeners = listeners
+        self._drain_timeout_s = drain_timeout_s
         self.draining = False
         """Whether responses tell clients to close their connection."""
 
+    @property
+    def cancelled_count(self) -> int:
+        """Number of requests that were cancelled when the drain timeout expired."""
+        return self._server.cancelled_count
+
     def begin_drain(self) -> None:
         """Close each connection after its next response; new connections are still served."""
         self.draining = True
@@ -82,7 +111,9 @@
         self.stop_listening()
         # A client whose connection was just accepted gets time to send its request.
         await anyio.sleep(ACCEPTED_REQUEST_TIMEOUT_S)
-        self._server.request_exit()
+        self._server.request_exit(
+            timeout_s=self._drain_timeout_s - ACCEPTED_REQUEST_TIMEOUT_S - EXIT_DELAY_S
+        )
 
 
 class _DrainingApp:
@@ -120,7 +151,7 @@
         address: `IP:port` to listen on.
         more_addresses: Further addresses to listen on.
         read_bounds: Returns the bounds of a new connection.
-        drain_timeout_s: Longest wait for requests in flight, in seconds.
+        drain_timeout_s: Longest wait for requests in flight when the context is left, in seconds.
         tls: Context of the listening socket; None serves plain HTTP.
 
     Raises:
@@ -138,13 +169,12 @@
         server_header=False,
         date_header=False,
         proxy_headers=False,
-        timeout_graceful_shutdown=round(drain_timeout_s),
     )
     config.read_bounds = read_bounds
     config.load()
     config.ssl = tls
     listeners = [open_listener(listen_address) for listen_address in (address, *more_addresses)]
-    server = HttpServer(_EmbeddedServer(config), listeners)
+    server = HttpServer(_EmbeddedServer(config), listeners, drain_timeout_s=drain_timeout_s)
     draining_app.server = server
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
--- a/src/samphirespring/platform/settings.py
+++ b/src/samphirespring/platform/settings.py
@@ -25,11 +25,17 @@
 MAX_BODY_BYTES = 64 << 20
 """Largest body of a request, in bytes; the configuration sets the same limit."""
 
-ACCEPT_SHARE = 0.45
-"""Share of the time from SIGTERM to SIGKILL in which new requests are still accepted."""
+MAX_ACCEPTING_S = 2.7
+"""Longest time for which a stopping node accepts requests, in seconds.
 
-FINISH_SHARE = 0.4
-"""Share of that time in which requests in flight may finish afterwards."""
+Callers leave a node after two failed readiness checks, which are a second apart.
+"""
+
+MAX_ACCEPTING_SHARE = 0.45
+"""Largest share of the time from SIGTERM to SIGKILL in which requests are accepted."""
+
+EXIT_TIME_S = 0.2
+"""Time before SIGKILL that the process keeps for its own end, in seconds."""
 
 DOCUMENT_WAIT_S = 10.0
 REPORT_INTERVAL_S = 1.0
@@ -103,6 +109,7 @@
     def make_node_settings(self) -> NodeSettings:
         """Return the settings of the node program."""
         grace_s = self.read_termination_grace_s()
+        accepting_s = min(MAX_ACCEPTING_S, grace_s * MAX_ACCEPTING_SHARE)
         return NodeSettings(
             locality=self.locality,
             caller_listen=self.caller_listen,
@@ -112,8 +119,8 @@
             report_interval_s=REPORT_INTERVAL_S,
             document_wait_s=DOCUMENT_WAIT_S,
             metrics_listen=self.metrics_address,
-            drain_grace_s=grace_s * ACCEPT_SHARE,
-            drain_timeout_s=grace_s * FINISH_SHARE,
+            drain_grace_s=accepting_s,
+            drain_timeout_s=max(EXIT_TIME_S, grace_s - accepting_s - EXIT_TIME_S),
             limits=self.caller_limits,
         )
 
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -5,8 +5,6 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-import anyio
-
 from samphirespring.connection.attempt_channel import RUN_ATTEMPTS
 from samphirespring.connection.attempt_link import RUN_ATTEMPT
 from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
@@ -350,7 +348,9 @@
                     self._components.readiness.mark_stopping()
                     callers.begin_drain()
                     await self._start_host_drain()
-                await self._wait_until_idle()
+                    drain_ends_at_s = self._timers.read_now_s() + self._settings.drain_timeout_s
+                _log.info(LogEvent.CALLERS_DRAINED, cancelled=callers.cancelled_count)
+                await self._wait_until_idle(drain_ends_at_s)
         finally:
             self._link_pool.close()
         _log.info(LogEvent.NODE_STOPPED, host=self._settings.locality.host)
@@ -359,10 +359,17 @@
         self._agent.inbox.post(DrainHost())
         await self._timers.wait_for(self._settings.drain_grace_s)
 
-    async def _wait_until_idle(self) -> None:
-        with anyio.move_on_after(self._settings.drain_timeout_s):
-            while (await self._agent.dump()).running > 0:
+    async def _wait_until_idle(self, ends_at_s: float) -> None:
+        """Wait until no attempt runs at the targets of this host.
+
+        Args:
+            ends_at_s: End of the wait, in seconds of monotonic time.
+        """
+        running = 0
+        with self._timers.move_on_at(ends_at_s):
+            while (running := (await self._agent.dump()).running) > 0:
                 await self._timers.wait_for(DRAIN_POLL_S)
+        _log.info(LogEvent.HOST_DRAINED, running=running)
 
     @asynccontextmanager
     async def _serve_links(self) -> AsyncIterator[None]:
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -12,6 +12,8 @@
     CONTROL_STARTED = "control_started"
     CONTROL_STOPPED = "control_stopped"
     STOP_REQUESTED = "stop_asked"
+    CALLERS_DRAINED = "callers_drained"
+    HOST_DRAINED = "host_drained"
     LISTEN_FAILED = "listen_failed"
     SETTINGS_RELOADED = "settings_reloaded"
     SETTINGS_RELOAD_FAILED = "settings_reload_failed"
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -40,6 +40,20 @@
     Then the agent's target "i-2" is "serving"
     And the agent has 1 target
 
+  # Guards against requests that a stopping node accepts and then cuts off, because its shares of a
+  # long grace end well before the grace does.
+  Scenario Outline: A stopping node uses the whole time that it has for requests it accepted
+    When a node's settings are read with a grace of <grace>
+    Then the node stops accepting requests at most 3 s after SIGTERM
+    And accepted requests may run until <end> s after SIGTERM, and no longer than the grace
+
+    Examples:
+      | grace | end  |
+      | 1500ms | 1.2 |
+      | 6s    | 5.7  |
+      | 10s   | 9.7  |
+      | 30s   | 29.7 |
+
   Scenario: A node is ready from its first document and table until it begins to stop
     Then the readiness check returns 503, and 200 once the node has a document and a table
     And it returns 503 again once the node begins to stop
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -8,6 +8,7 @@
 
 from document.asgi import call_app
 from front.fakes import make_attempt_message
+from samphirespring.connection.http_server import ACCEPTED_REQUEST_TIMEOUT_S
 from samphirespring.platform.announcements import AnnouncementApp
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
@@ -18,6 +19,7 @@
 )
 from samphirespring.platform.operator_http import ConfigurationApp
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
+from samphirespring.platform.units import parse_seconds
 from samphirespring.process.agent import Agent
 from samphirespring.process.document.commands import ChangeSection, DocumentSnapshot
 from samphirespring.process.document.service import DocumentService
@@ -519,3 +521,38 @@
     assert control.replica == "10.1.0.41:7600"
     assert control.discovery.voters == 5 and control.discovery.first_start
     assert control_settings.operator_port == 8620
+
+
+@when("a node's settings are read with a grace of {grace}")
+def step_read_grace(context, grace):
+    settings = PlatformNodeSettings(
+        host="h",
+        failure_domain="d",
+        region="r",
+        address="10.1.0.41",
+        link_port=7600,
+        metrics_port=9464,
+        seeds=("10.2.0.9:8620",),
+        bounds={"grace": grace},
+        caller_listen="10.1.0.41:8629",
+        announcement_listen="10.1.0.41:8620",
+        readiness_listen="10.1.0.41:8625",
+        target_address=ADDRESS,
+        service="orders",
+    )
+    context.grace_s = parse_seconds(grace)
+    context.node_settings = settings.make_node_settings()
+
+
+@then("the node stops accepting requests at most {limit_s:g} s after SIGTERM")
+def step_check_accepting(context, limit_s):
+    # A connection that was just accepted has a little longer to send its request.
+    accepting_s = context.node_settings.drain_grace_s + ACCEPTED_REQUEST_TIMEOUT_S
+    assert accepting_s <= limit_s, accepting_s
+
+
+@then("accepted requests may run until {end_s:g} s after SIGTERM, and no longer than the grace")
+def step_check_running(context, end_s):
+    settings = context.node_settings
+    running_s = settings.drain_grace_s + settings.drain_timeout_s
+    assert end_s <= running_s < context.grace_s, running_s
