--- a/src/samphirespring/connection/backend_dialect.py
+++ b/src/samphirespring/connection/backend_dialect.py
@@ -31,12 +31,16 @@
         """
 
     @abstractmethod
-    def is_response_to(self, head: ResponseHead, request: AttemptRequest) -> bool:
+    def is_response_to(
+        self, head: ResponseHead, request: AttemptRequest, *, is_first: bool
+    ) -> bool:
         """Return whether a response may belong to an attempt.
 
         Args:
             head: Head of the response.
             request: The attempt.
+            is_first: Whether it is the first response on its connection, so that it can't be a
+                late copy of an earlier one.
         """
 
     @abstractmethod
@@ -56,7 +60,9 @@
             headers.append((IDEMPOTENCY_KEY_HEADER, request.key.encode()))
         return headers
 
-    def is_response_to(self, head: ResponseHead, request: AttemptRequest) -> bool:
+    def is_response_to(
+        self, head: ResponseHead, request: AttemptRequest, *, is_first: bool
+    ) -> bool:
         """Return True: backend servers of this dialect don't echo an attempt id."""
         return True
 
--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -55,7 +55,12 @@
 
     @asynccontextmanager
     async def exchange(
-        self, request: AttemptRequest, body: BodySource | None, *, address: str
+        self,
+        request: AttemptRequest,
+        body: BodySource | None,
+        *,
+        address: str,
+        refusal_reader: RefusalReader,
     ) -> AsyncIterator[AsyncIterator[ResponseHead | ResponseChunk]]:
         """Send a request and yield an iterator over the head and the chunks of the response.
 
@@ -66,6 +71,7 @@
             request: The attempt.
             body: Provides the request's body if it isn't part of the request.
             address: `IP:port` of the backend server.
+            refusal_reader: Gets the response, to tell after it whether it is a refusal.
 
         Raises:
             UpstreamError: No connection can be opened.
@@ -75,7 +81,8 @@
                 connection.begin(bodyless=request.method == b"HEAD")
                 upload = None if body is None else BodyUpload(connection, body, request.body_length)
                 async with _running(upload):
-                    yield self._iterate_frames(connection, request, address, upload)
+                    frames = self._iterate_frames(connection, request, address, upload)
+                    yield _read_refusal(frames, refusal_reader, connection)
         except ConnectFailedError:
             raise UpstreamError(FailureKind.CONNECT, started=False) from None
 
@@ -90,7 +97,8 @@
         try:
             parsed = await self._send(connection, request, address, upload)
             head = _make_head(request, parsed)
-            if not self._dialect.is_response_to(head, request):
+            is_first = connection.served_count == 0
+            if not self._dialect.is_response_to(head, request, is_first=is_first):
                 # A late response to an earlier request; with its body unread, the connection is
                 # closed.
                 raise UpstreamError(FailureKind.MISMATCH, started=True)
@@ -140,6 +148,26 @@
         return b"\r\n".join((*lines, b"", b""))
 
 
+async def _read_refusal(
+    frames: AsyncIterator[ResponseHead | ResponseChunk],
+    reader: RefusalReader,
+    connection: UpstreamConnection,
+) -> AsyncIterator[ResponseHead | ResponseChunk]:
+    """Yield the frames of a response, and close its connection behind a refusal.
+
+    A late copy of the refusal could otherwise pass for the response to a later attempt at the same
+    request, and prove that nothing ran while the backend server runs it.
+    """
+    async for frame in frames:
+        if isinstance(frame, ResponseHead):
+            reader.feed_head(frame)
+        else:
+            reader.feed_chunk(frame.data)
+        yield frame
+    if reader.read() is not None:
+        connection.close()
+
+
 @asynccontextmanager
 async def _running(upload: BodyUpload | None) -> AsyncIterator[None]:
     """Run an upload while the context is open; leaving ends it.
--- a/src/samphirespring/platform/backend_dialect.py
+++ b/src/samphirespring/platform/backend_dialect.py
@@ -24,13 +24,17 @@
         headers.append((TARGET_ID, request.target.encode()))
         return headers
 
-    def is_response_to(self, head: ResponseHead, request: AttemptRequest) -> bool:
+    def is_response_to(
+        self, head: ResponseHead, request: AttemptRequest, *, is_first: bool
+    ) -> bool:
         """Return whether a response matches the request's id.
 
         A success must echo the id, carry a seal and have no content encoding. Any other response
-        may lack the id, but must not carry a different one.
+        may lack the id if it is the first one on its connection.
         """
         echoed = find_header(head.headers, REQUEST_ID)
+        if echoed is None and not is_first:
+            return False
         if echoed is not None and echoed != request.request.encode():
             return False
         if head.status not in SUCCESS_STATUSES:
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -79,18 +79,19 @@
         """
         try:
             async with self._upstream.exchange(
-                self._request, body, address=self._admission.address
+                self._request,
+                body,
+                address=self._admission.address,
+                refusal_reader=self._refusal_reader,
             ) as frames:
                 async for frame in frames:
                     if isinstance(frame, ResponseHead):
-                        self._refusal_reader.feed_head(frame)
                         self._inspector.feed_head(frame)
                         self._capture.add_head(frame.status, frame.headers)
                     else:
                         self._inspector.feed_chunk(frame.data)
                         self._capture.add_chunk(frame.data)
                         self.body_length += len(frame.data)
-                        self._refusal_reader.feed_chunk(frame.data)
                     await self._forward_frame(batcher, frame)
             self.complete = True
         except UpstreamError as error:
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -114,17 +114,18 @@
   Scenario Outline: Matching responses to a request
     When a target responds with status <status> <with>
     Then the response belongs to <match>
+    And on a connection that was used before it belongs to <later>
 
     Examples:
-      | status | with                                        | match       |
-      | 200    | with the request id and a seal              | the request |
-      | 200    | without a seal                              | no request  |
-      | 200    | without the request id                      | no request  |
-      | 200    | with another request id                     | no request  |
-      | 200    | with the request id, a seal and an encoding | no request  |
-      | 500    | with the request id and a seal              | the request |
-      | 503    | with no headers                             | the request |
-      | 503    | with another request id                     | no request  |
+      | status | with                                        | match       | later       |
+      | 200    | with the request id and a seal              | the request | the request |
+      | 200    | without a seal                              | no request  | no request  |
+      | 200    | without the request id                      | no request  | no request  |
+      | 200    | with another request id                     | no request  | no request  |
+      | 200    | with the request id, a seal and an encoding | no request  | no request  |
+      | 500    | with the request id and a seal              | the request | the request |
+      | 503    | with no headers                             | the request | no request  |
+      | 503    | with another request id                     | no request  | no request  |
 
   Scenario Outline: Detecting refusals of targets
     When a target responds with status <status> <with>
--- a/tests/features/responses.feature
+++ b/tests/features/responses.feature
@@ -33,6 +33,28 @@
       | and a copy before the next request | 2           |
       | and a copy with another id later   | 2           |
 
+  # Guards against a late copy of a refusal that passes for the response to a later attempt: an action
+  # that runs would be reported as not run, and be sent again.
+  Scenario Outline: A late copy of a refusal never answers a later attempt
+    Given a backend server that refuses a request <refusal>, and repeats the refusal before its next response
+    When the attempt is refused, and <attempt> is sent
+    Then the later attempt gets its own response
+
+    Examples:
+      | refusal                         | attempt                           |
+      | with the request's id           | another attempt at the request    |
+      | with the request's id           | an attempt at another request     |
+      | without an id                   | another attempt at the request    |
+      | without an id                   | an attempt at another request     |
+      | by status 421                   | another attempt at the request    |
+      | by a code in the body           | another attempt at the request    |
+      | by a code in the body           | an attempt at another request     |
+
+  Scenario: A late copy of a failure without an id never answers another request
+    Given a backend server that fails a request without an id, and repeats the failure before its next response
+    When the attempt fails, and an attempt at another request is sent
+    Then the later attempt doesn't get the failure
+
   Scenario Outline: Which responses are complete
     When a backend server sends <response> and closes the connection
     Then the result is <result>
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -444,7 +444,15 @@
 
 @then("the response belongs to {match}")
 def step_check_belongs(context, match):
-    belongs = PlatformBackendDialect().is_response_to(context.head, make_attempt())
+    dialect = PlatformBackendDialect()
+    belongs = dialect.is_response_to(context.head, make_attempt(), is_first=True)
+    assert belongs == (match == "the request")
+
+
+@then("on a connection that was used before it belongs to {match}")
+def step_check_belongs_later(context, match):
+    dialect = PlatformBackendDialect()
+    belongs = dialect.is_response_to(context.head, make_attempt(), is_first=False)
     assert belongs == (match == "the request")
 
 
--- a/tests/features/steps/responses_steps.py
+++ b/tests/features/steps/responses_steps.py
@@ -124,6 +124,84 @@
     assert context.backend.connections == count, context.backend.connections
 
 
+REFUSALS = {
+    "with the request's id": b"HTTP/1.1 503 S\r\nX-Request-Id: first\r\nX-Not-Executed: 1\r\n",
+    "without an id": b"HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\n",
+    "by status 421": b"HTTP/1.1 421 M\r\nX-Request-Id: first\r\n",
+    "by a code in the body": b"HTTP/1.1 503 S\r\n",
+}
+REFUSAL_BODY = b'{"code": "no_slot"}'
+LATER_ATTEMPTS = {
+    "another attempt at the request": b"first",
+    "an attempt at another request": b"second",
+}
+
+
+def copy_first_response(context, first):
+    """Send `first` as the first response, and once more before the second one."""
+
+    async def script(backend, stream, head):
+        name = head.split()[1][1:]
+        if len(backend.requests) == 1:
+            await backend.send(stream, first)
+            return
+        is_same_connection = backend.connections == 1
+        own = make_response(b"own", request_id=name)
+        await backend.send(stream, first + own if is_same_connection else own)
+
+    context.copying_script = script
+
+
+def send_later_attempt(context, name):
+    async def call(agent, backend):
+        context.first_result = await agent.exchange(backend, name=b"first", body=None)
+        return await agent.exchange(backend, name=name)
+
+    run(context, context.copying_script, call, context.dialect)
+
+
+@given(
+    "a backend server that refuses a request {refusal}, "
+    "and repeats the refusal before its next response"
+)
+def step_copy_refusal(context, refusal):
+    is_typed_by_body = refusal == "by a code in the body"
+    context.dialect = None if is_typed_by_body else PlatformBackendDialect()
+    length = b"Content-Length: %d\r\n\r\n" % len(REFUSAL_BODY)
+    copy_first_response(context, REFUSALS[refusal] + length + REFUSAL_BODY)
+
+
+@given(
+    "a backend server that fails a request without an id, "
+    "and repeats the failure before its next response"
+)
+def step_copy_failure(context):
+    context.dialect = PlatformBackendDialect()
+    copy_first_response(context, b"HTTP/1.1 500 F\r\nContent-Length: 0\r\n\r\n")
+
+
+@when("the attempt is refused, and {attempt} is sent")
+def step_send_later(context, attempt):
+    send_later_attempt(context, LATER_ATTEMPTS[attempt])
+    assert context.first_result[0] in (421, 503), context.first_result
+
+
+@when("the attempt fails, and an attempt at another request is sent")
+def step_send_after_failure(context):
+    send_later_attempt(context, b"second")
+    assert context.first_result == (500, b""), context.first_result
+
+
+@then("the later attempt gets its own response")
+def step_check_later(context):
+    assert context.result == (200, b"own"), context.result
+
+
+@then("the later attempt doesn't get the failure")
+def step_check_no_failure(context):
+    assert context.result != (500, b""), context.result
+
+
 RESPONSES = {
     "a body without a length": HEAD + b"\r\nhello",
     "a body shorter than its length": HEAD + b"Content-Length: 6\r\n\r\nhello",
--- a/tests/front/scripted_backend.py
+++ b/tests/front/scripted_backend.py
@@ -110,7 +110,12 @@
         parts = []
         status = None
         try:
-            async with self.client.exchange(request, body, address=backend.address) as frames:
+            async with self.client.exchange(
+                request,
+                body,
+                address=backend.address,
+                refusal_reader=self.client.make_refusal_reader(),
+            ) as frames:
                 async for frame in frames:
                     if isinstance(frame, ResponseHead):
                         status = frame.status
--- a/tests/front/stalling_pool.py
+++ b/tests/front/stalling_pool.py
@@ -59,7 +59,7 @@
         self._resumed.set()
 
     @asynccontextmanager
-    async def exchange(self, request, body, *, address):
+    async def exchange(self, request, body, *, address, refusal_reader):
         self.started += 1
         yield self._respond(request)
 
