--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -141,7 +141,7 @@
         self._groups.use_seeds(seeds)
 
     async def run(self) -> None:
-        """Serve until a stop is requested, then transfer leadership."""
+        """Serve until a stop is requested, then hand over leadership and votes."""
         async with (
             watch_stop_signals() as stop,
             run_tasks(self._tasks),
@@ -161,6 +161,7 @@
             _log.info(LogEvent.CONTROL_STARTED, replica=self._settings.replica)
             await stop.wait()
             await self._groups.transfer_leadership()
+            await self._groups.hand_over_votes()
         self._link_pool.close()
         _log.info(LogEvent.CONTROL_STOPPED, replica=self._settings.replica)
 
--- a/src/samphirespring/process/control_groups.py
+++ b/src/samphirespring/process/control_groups.py
@@ -44,6 +44,11 @@
 from samphirespring.process.timers import TimerService
 from samphirespring.process.tls import make_client_context
 
+HANDOVER_TIMEOUT_S = 3.0
+"""Longest time that a stopping host waits for the handover of its votes, in seconds."""
+
+HANDOVER_POLL_S = 0.05
+
 _log = EventLog()
 
 
@@ -182,6 +187,25 @@
                     LogEvent.LEADERSHIP_NOT_TRANSFERRED, group=status.group, detail=error.detail
                 )
 
+    async def hand_over_votes(self) -> None:
+        """Give the vote of each group to another host if one is ready, before a planned stop.
+
+        A host that stops for good would otherwise count towards the quorum until it is found to be
+        lost, and several such hosts could take the quorum with them.
+        """
+        async with anyio.create_task_group() as tasks:
+            for group_id, group in tuple(self._groups.items()):
+                tasks.start_soon(self._hand_over_vote, group_id, group)
+
+    async def _hand_over_vote(
+        self, group_id: GroupId, group: ReplicatedGroup[Any, Any, Any]
+    ) -> None:
+        may_stop = False
+        with anyio.move_on_after(HANDOVER_TIMEOUT_S):
+            while not (may_stop := await group.depart()):
+                await self._context.timers.wait_for(HANDOVER_POLL_S)
+        _log.info(LogEvent.VOTE_RELEASED, group=group_id, in_time=may_stop)
+
 
 def _list_peers(settings: ControlSettings) -> dict[ReplicaId, str]:
     """Return the link addresses of the control hosts that the settings name."""
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -57,6 +57,7 @@
     GROUP_PLACEMENT_MISMATCH = "group_placed_otherwise"
     LEADERSHIP_TRANSFERRED = "lead_transferred"
     LEADERSHIP_NOT_TRANSFERRED = "lead_not_transferred"
+    VOTE_RELEASED = "vote_released"
     SNAPSHOT_WRITTEN = "snapshot_written"
     SNAPSHOT_INSTALLED = "snapshot_installed"
     REPLICATION_LINK_DOWN = "replication_link_down"
--- a/src/samphirespring/process/replication/discovery.py
+++ b/src/samphirespring/process/replication/discovery.py
@@ -37,12 +37,14 @@
     joiners: Sequence[Member],
     followers: Mapping[MemberId, FollowerProgress],
     unresponsive: Collection[MemberId],
+    departing: Collection[MemberId],
     commit_index: LogIndex,
 ) -> Membership | None:
     """Return the next membership, or None if no change is due.
 
     Control hosts that announce themselves become learners, and are promoted until the group has
-    enough voters. An unresponsive voter is removed only once a learner has caught up.
+    enough voters. A voter that is unresponsive or about to stop is removed only once a learner has
+    caught up.
 
     Args:
         membership: The newest membership, which is committed.
@@ -51,9 +53,11 @@
         joiners: Hosts with a recent announcement.
         followers: Progress of the other members.
         unresponsive: Members without a recent reply to the leader.
+        departing: Members that are about to stop or have stopped as planned.
         commit_index: Last committed index.
     """
     learners = [m for m in membership.members if m.standing is MemberStanding.LEARNER]
+    leaving = {*unresponsive, *departing}
     for joiner in joiners:
         if membership.find_replica(joiner.replica) is None and len(learners) < MAX_LEARNERS:
             return membership.add_learner(joiner)
@@ -61,15 +65,15 @@
         m
         for m in learners
         if m.replaces is None
-        and m.member not in unresponsive
+        and m.member not in leaving
         and is_caught_up(followers.get(m.member), commit_index)
     ]
     if ready and len(membership.voters) < voter_goal:
         return membership.promote(ready[0].member)
-    lost = [v for v in membership.voters if v in unresponsive and v != leader]
+    lost = [v for v in membership.voters if v in leaving and v != leader]
     if ready and lost:
         return membership.remove(lost[0])
     for learner in learners:
-        if learner.member in unresponsive:
+        if learner.member in leaving:
             return membership.remove(learner.member)
     return None
--- a/src/samphirespring/process/replication/failed_disk.py
+++ b/src/samphirespring/process/replication/failed_disk.py
@@ -4,6 +4,7 @@
 from samphirespring.process.replication.group_messages import (
     ChangeMembership,
     ConfirmLeadership,
+    Depart,
     GroupInput,
     ProposePayload,
     ReadStateMachine,
@@ -41,3 +42,5 @@
             change_reply.fail(error)
         case TransferLeadership(reply=transfer_reply):
             transfer_reply.fail(error)
+        case Depart(reply=departure_reply):
+            departure_reply.send(True)
--- a/src/samphirespring/process/replication/group.py
+++ b/src/samphirespring/process/replication/group.py
@@ -21,6 +21,7 @@
     ChangeKind,
     ChangeMembership,
     ConfirmLeadership,
+    Depart,
     GroupApplied,
     ProposePayload,
     ReadStateMachine,
@@ -227,6 +228,13 @@
         """
         return await self._inbox.ask(lambda reply: TransferLeadership(to=to, reply=reply))
 
+    async def depart(self) -> bool:
+        """Hand over this replica's vote before a planned stop, and return whether it may stop now.
+
+        If it may not, call again: the leader first gives the vote to a learner that has caught up.
+        """
+        return await self._inbox.ask(lambda reply: Depart(reply=reply))
+
     async def read_status(self) -> GroupStatus:
         """Return the replica's status for operators."""
         return await self._inbox.ask(lambda reply: ReadStatus(reply=reply))
--- a/src/samphirespring/process/replication/group_member.py
+++ b/src/samphirespring/process/replication/group_member.py
@@ -26,6 +26,8 @@
 from samphirespring.process.replication.messages import (
     Announcement,
     AnnouncementReply,
+    Departure,
+    DepartureReply,
     GroupMessage,
 )
 from samphirespring.process.replication.replica import Replica
@@ -34,6 +36,8 @@
 from samphirespring.process.replication.timing import ReplicaTiming
 
 ANNOUNCE_INTERVAL_S = 0.5
+DEPARTURE_INTERVAL_S = 0.2
+"""Time between two notices of a member that is about to stop, in seconds."""
 
 _log = EventLog()
 
@@ -104,6 +108,11 @@
         self._sender_addresses: dict[MemberId, str] = {}
         self._announce_due_at_s = now_s
         self._is_forming = False
+        self._is_departing = False
+        self._departure_due_at_s = now_s
+        self._may_stop = discovery is None
+        """Whether the group doesn't need this member's vote, or can't replace it."""
+
         self._effects: list[Effect] = []
 
     def tick(self, now_s: float) -> None:
@@ -112,7 +121,8 @@
         Args:
             now_s: Monotonic time, in seconds.
         """
-        self.replica.tick(now_s)
+        if self.replica.leadership is not None or not self._is_departing:
+            self.replica.tick(now_s)
         planned = self.membership_coordinator.plan_next(now_s)
         if planned is not None:
             _log.info(LogEvent.MEMBERSHIP_CHANGE_STARTED, group=self._group, voters=planned.voters)
@@ -120,9 +130,27 @@
         successor = self.membership_coordinator.transfer_to_placed_replica(now_s)
         if successor is not None:
             _log.info(LogEvent.LEADERSHIP_HANDED_OVER, group=self._group, replica=successor)
-        if self._may_need_to_join():
+        if self._is_departing:
+            self._send_departure(now_s)
+        elif self._may_need_to_join():
             self._announce(now_s)
 
+    def depart(self, now_s: float) -> bool:
+        """Hand over the vote before a planned stop, and return whether this member may stop now.
+
+        Further calls return how far it is. A member that departs starts no election.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+        """
+        self._is_departing = True
+        voters = self.replica.log.membership.voters
+        if self._may_stop or self.own.member not in voters or len(voters) == 1:
+            return True
+        if self.replica.leadership is not None:
+            self.membership_coordinator.transfer_leadership(None, now_s=now_s)
+        return False
+
     def receive(self, envelope: ReplicationEnvelope, *, address: str, now_s: float) -> None:
         """Handle a message.
 
@@ -146,8 +174,15 @@
             return
         if self._identity.lineage is None:
             self._adopt_lineage(envelope.lineage)
-        if envelope.lineage == self._identity.lineage:
-            self.replica.receive(envelope.sender, message, now_s=now_s)
+        if envelope.lineage != self._identity.lineage:
+            return
+        match message:
+            case Departure():
+                self._on_departure(envelope.sender, now_s)
+            case DepartureReply():
+                self._may_stop = self._may_stop or message.may_stop
+            case _:
+                self.replica.receive(envelope.sender, message, now_s=now_s)
 
     def pop_effects(self, now_s: float) -> list[Effect]:
         """Return the pending effects in order, and clear them.
@@ -237,6 +272,20 @@
         if formed:
             self.membership_coordinator.record_joiner(announced, now_s=now_s)
 
+    def _send_departure(self, now_s: float) -> None:
+        if self._may_stop or now_s < self._departure_due_at_s:
+            return
+        self._departure_due_at_s = now_s + DEPARTURE_INTERVAL_S
+        for record in self.replica.log.membership.members:
+            if record.member != self.own.member:
+                self.send(record.member, Departure())
+
+    def _on_departure(self, sender: MemberId, now_s: float) -> None:
+        if self.replica.leadership is None:
+            return
+        may_stop = self.membership_coordinator.record_departure(sender, now_s=now_s)
+        self.send(sender, DepartureReply(may_stop=may_stop))
+
     def _form(self, membership: Membership) -> None:
         self._is_forming = True
         lineage = GroupLineage(f"{self._random.getrandbits(64):016x}")
--- a/src/samphirespring/process/replication/group_messages.py
+++ b/src/samphirespring/process/replication/group_messages.py
@@ -51,6 +51,16 @@
     reply: ReplySlot[None]
 
 
+class Depart(msgspec.Struct, frozen=True, kw_only=True):
+    """Request to hand over this replica's vote before a planned stop.
+
+    Attributes:
+        reply: Receives whether the replica may stop now; if not, the request is to be repeated.
+    """
+
+    reply: ReplySlot[bool]
+
+
 class UseSeeds(msgspec.Struct, frozen=True, kw_only=True):
     """Replaces the seeds: the control hosts to which a replica outside the group announces itself.
 
@@ -142,6 +152,7 @@
     | ReadStateMachine
     | ChangeMembership
     | TransferLeadership
+    | Depart
     | ReadStatus
 )
 GroupInput = ProtocolInput | GroupRequest
--- a/src/samphirespring/process/replication/membership_coordinator.py
+++ b/src/samphirespring/process/replication/membership_coordinator.py
@@ -27,6 +27,10 @@
 A lost voter is removed once a learner has caught up.
 """
 
+DEPARTURE_VALIDITY_S = 1.0
+"""Time after its last notice from which a departing member that still replies has come back, in
+seconds."""
+
 
 class MembershipCoordinator:
     """Decides on membership changes for one replica.
@@ -50,6 +54,8 @@
         self._voter_goal = voter_goal
         self._joiners: dict[MemberId, Member] = {}
         self._announced_at_s: dict[MemberId, float] = {}
+        self._departure_at_s: dict[MemberId, float] = {}
+        """Time of the latest notice of each member that is about to stop or has stopped."""
 
     def record_joiner(self, joiner: Member, *, now_s: float) -> None:
         """Record the announcement of a replica with an empty folder.
@@ -74,6 +80,40 @@
         membership = self._replica.log.membership
         return tuple(j for j in self._joiners.values() if membership.find(j.member) is None)
 
+    def record_departure(self, member: MemberId, *, now_s: float) -> bool:
+        """Record at the leader that a member is about to stop, and return whether it may stop now.
+
+        Args:
+            member: The member.
+            now_s: Monotonic time, in seconds.
+        """
+        self._departure_at_s[member] = now_s
+        if not self._replica.may_change_membership():
+            return False
+        membership = self._replica.log.membership
+        return not membership.has_voter(member) or not self._has_successor(membership, now_s)
+
+    def list_departing(self) -> frozenset[MemberId]:
+        """Return the members that are about to stop, or have stopped and aren't back."""
+        leadership = self._replica.leadership
+        followers = {} if leadership is None else leadership.followers
+        for member, notice_at_s in tuple(self._departure_at_s.items()):
+            progress = followers.get(member)
+            contact_s = None if progress is None else progress.contact_s
+            is_back = contact_s is not None and contact_s > notice_at_s + DEPARTURE_VALIDITY_S
+            if progress is None or is_back:
+                del self._departure_at_s[member]
+        return frozenset(self._departure_at_s)
+
+    def _has_successor(self, membership: Membership, now_s: float) -> bool:
+        """Return whether another host may soon take over a vote."""
+        if self._voter_goal is None:
+            return False
+        departing = self.list_departing()
+        learners = (m for m in membership.members if m.standing is MemberStanding.LEARNER)
+        candidates = (*learners, *self.list_joiners(now_s))
+        return any(candidate.member not in departing for candidate in candidates)
+
     def plan_next(self, now_s: float) -> Membership | None:
         """Return the next membership for replacing, adding or moving members, or None.
 
@@ -102,6 +142,7 @@
                 joiners=joiners,
                 followers=leadership.followers,
                 unresponsive=leadership.list_unresponsive(now_s, limit_s=MEMBER_LOST_TIMEOUT_S),
+                departing=self.list_departing(),
                 commit_index=self._replica.commit_index,
             )
         if self._placed is None:
@@ -160,6 +201,8 @@
     def transfer_leadership(self, to: ReplicaId | None, *, now_s: float) -> ReplicaId | None:
         """Transfer leadership to a caught-up voter; return its replica, or None if there is none.
 
+        A voter that is about to stop isn't chosen.
+
         Args:
             to: The voter's replica; None for the one with the longest log.
             now_s: Monotonic time, in seconds.
@@ -167,10 +210,13 @@
         leadership = self._replica.leadership
         if leadership is None:
             return None
+        departing = self.list_departing()
         others = [
             record
             for record in self._replica.log.membership.members
-            if record.member in leadership.followers and to in (None, record.replica)
+            if record.member in leadership.followers
+            and record.member not in departing
+            and to in (None, record.replica)
         ]
         followers = leadership.followers
         others.sort(key=lambda record: followers[record.member].match_index, reverse=True)
--- a/src/samphirespring/process/replication/messages.py
+++ b/src/samphirespring/process/replication/messages.py
@@ -133,6 +133,20 @@
     """The group's members in the log of the replying replica; all may be new to the requester."""
 
 
+class Departure(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="dp"):
+    """Tells the group that a member is about to stop, and asks whether it may.
+
+    Sent repeatedly until the leader replies that it may, because leaders may change meanwhile.
+    """
+
+
+class DepartureReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="dpr"):
+    """Replies to a `Departure`; only the leader sends it."""
+
+    may_stop: bool
+    """Whether the member has no vote any more, or keeps it because nobody could take it over."""
+
+
 ReplicaMessage = (
     PreVoteRequest
     | PreVoteReply
@@ -150,4 +164,5 @@
 LeaderMessage = Heartbeat | AppendRequest | SnapshotChunk
 FollowerMessage = HeartbeatReply | AppendReply | AppendRejection | SnapshotReply
 FormationMessage = Announcement | AnnouncementReply
-GroupMessage = ReplicaMessage | FormationMessage
+DepartureMessage = Departure | DepartureReply
+GroupMessage = ReplicaMessage | FormationMessage | DepartureMessage
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -32,6 +32,7 @@
 from samphirespring.process.replication.group_messages import (
     ChangeMembership,
     ConfirmLeadership,
+    Depart,
     GroupApplied,
     GroupInput,
     PeerMessage,
@@ -217,6 +218,8 @@
                 self._on_change(message, now_s)
             case TransferLeadership():
                 self._on_transfer(message, now_s)
+            case Depart():
+                message.reply.send(self._member.depart(now_s))
             case WriteDone() if message.session == self._number:
                 self._on_write_done(message.outcome, now_s)
             case WriteFailed() if message.session == self._number:
--- a/tests/features/control_discovery.feature
+++ b/tests/features/control_discovery.feature
@@ -60,3 +60,34 @@
     When a leader suspended for 8 s must confirm its leadership by a heartbeat round
     Then another leader was elected meanwhile, and it never confirms
     But its lease alone would have confirmed it
+
+  # Guards against a group that loses its quorum for good although each of its voters was replaced as
+  # planned: a stopped host kept its vote until it had been silent for some seconds.
+  Scenario Outline: Voters that are replaced as planned hand over their votes
+    Given a group of 5 voters discovered from 3 seeds, and 3 learners
+    When voters <order> stop as planned, one every <interval_s> s, and never come back
+    Then each stop takes at most 3 s
+    And within 5 s a command is committed, and the group has 5 running voters
+
+    Examples:
+      | order     | interval_s |
+      | 2, 3 and 4 | 2.3       |
+      | 0, 1 and 2 | 2.3       |
+      | 4, 1 and 0 | 1.0       |
+      | 1, 2 and 3 | 0.1       |
+
+  Scenario: Two disks may be lost right after a planned replacement
+    Given a group of 5 voters discovered from 3 seeds, and 1 learner
+    When voter 1 stops as planned and never comes back, and 1 s later 2 other voters lose their disks
+    Then the commit is kept and within 12 s one group has 5 voters
+
+  Scenario: A voter that stops as planned without a successor keeps its vote
+    Given a group of 5 voters discovered from 3 seeds
+    When voter 1 stops as planned
+    Then the stop takes at most 1 s
+    And voter 1 is a voter of the group again when it has started
+
+  Scenario: A voter that stops before its successor is ready is replaced at once afterwards
+    Given a group of 5 voters discovered from 3 seeds
+    When voter 1 stops as planned, and 0.3 s later an empty host with a new address starts
+    Then within 2500 ms one group has 5 voters, the new host among them and voter 1 not
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from replication.simulation import Simulation
+from samphirespring.process.control_groups import HANDOVER_POLL_S, HANDOVER_TIMEOUT_S
 from samphirespring.process.ids import ReplicaId
 from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.states import MemberStanding
@@ -221,14 +222,14 @@
     simulation.run_until(has_running_voters, limit_s=limit)
 
 
-@when("2 voters lose their disks right after a commit and start again")
-def step_lose_two(context):
+def lose_disks(context, numbers):
+    """Commit a command, and let voters lose their disks right after it and start again."""
     simulation = context.simulation
     before = simulation.checks.committed_end
     simulation.propose(1)
     simulation.run_until(lambda: simulation.checks.committed_end > before, limit_s=5.0)
     context.committed_index = simulation.checks.committed_end
-    for number in (0, 3):
+    for number in numbers:
         host = simulation.hosts[number]
         host.lose_disk()
         host.discovery = Discovery(
@@ -237,6 +238,11 @@
         host.start(simulation.now_s)
 
 
+@when("2 voters lose their disks right after a commit and start again")
+def step_lose_two(context):
+    lose_disks(context, [0, 3])
+
+
 @then("the commit is kept and within {limit:d} s one group has 5 voters")
 def step_check_kept_commit(context, limit):
     simulation = context.simulation
@@ -284,3 +290,135 @@
 @then("its lease alone would have confirmed it")
 def step_check_lease(context):
     assert context.had_lease
+
+
+class PlannedStops:
+    """Stops hosts as control hosts stop on SIGTERM; several stops may overlap."""
+
+    def __init__(self, simulation):
+        self.simulation = simulation
+        self.begun_at_s = {}
+        self.durations_s = []
+
+    def begin(self, host):
+        self.begun_at_s[host] = self.simulation.now_s
+
+    def run(self, duration_s):
+        """Run the simulation while the stops that were begun go on."""
+        end_at_s = self.simulation.now_s + duration_s
+        while self.simulation.now_s < end_at_s:
+            for host in tuple(self.begun_at_s):
+                self._go_on(host)
+            self.simulation.run(min(HANDOVER_POLL_S, end_at_s - self.simulation.now_s))
+
+    def finish(self):
+        """Run until all stops are over."""
+        while self.begun_at_s:
+            self.run(HANDOVER_POLL_S)
+
+    def _go_on(self, host):
+        now_s = self.simulation.now_s
+        may_stop = host.member.depart(host.read_clock(now_s))
+        host.perform(now_s)
+        stopping_s = now_s - self.begun_at_s[host]
+        if may_stop or stopping_s >= HANDOVER_TIMEOUT_S:
+            host.crash()
+            self.durations_s.append(stopping_s)
+            del self.begun_at_s[host]
+
+
+def stop_as_planned(simulation, host):
+    """Stop one host, and return how long that takes, in seconds."""
+    stops = PlannedStops(simulation)
+    stops.begin(host)
+    stops.finish()
+    return stops.durations_s[0]
+
+
+@given("a group of 5 voters discovered from 3 seeds, and {count:d} learners")
+@given("a group of 5 voters discovered from 3 seeds, and {count:d} learner")
+def step_group_with_learners(context, count):
+    context.simulation = simulation = make_fleet(spares=3)
+    start_all(simulation, range(5))
+    wait_for_voters(simulation, VOTER_COUNT, FORMATION_LIMIT_S)
+    for host in simulation.hosts[VOTER_COUNT : VOTER_COUNT + count]:
+        host.start(simulation.now_s)
+    simulation.run_until(
+        lambda: len(find_replicas(simulation, MemberStanding.LEARNER)) == count, limit_s=5.0
+    )
+    simulation.run(4.0)
+
+
+@when("voters {order} stop as planned, one every {interval_s:g} s, and never come back")
+def step_stop_series(context, order, interval_s):
+    simulation = context.simulation
+    stops = PlannedStops(simulation)
+    for number in order.replace(" and ", ", ").split(", "):
+        stops.begin(simulation.hosts[int(number)])
+        stops.run(interval_s)
+    stops.finish()
+    context.stop_durations_s = stops.durations_s
+
+
+@then("each stop takes at most {limit_s:g} s")
+def step_check_stops(context, limit_s):
+    assert max(context.stop_durations_s) <= limit_s, context.stop_durations_s
+
+
+@then("within {limit_s:g} s a command is committed, and the group has {count:d} running voters")
+def step_check_commits(context, limit_s, count):
+    simulation = context.simulation
+    before = simulation.checks.committed_end
+
+    def is_committed():
+        simulation.propose(1)
+        return simulation.checks.committed_end > before + 1
+
+    simulation.run_until(is_committed, limit_s=limit_s)
+    step_check_running(context, limit_s, count)
+
+
+@when(
+    "voter 1 stops as planned and never comes back, "
+    "and {delay_s:g} s later {count:d} other voters lose their disks"
+)
+def step_stop_and_lose(context, delay_s, count):
+    simulation = context.simulation
+    next_at_s = simulation.now_s + delay_s
+    stop_as_planned(simulation, simulation.hosts[1])
+    simulation.run(max(0.0, next_at_s - simulation.now_s))
+    # The old leader and another voter, but not the successor: its disk counts as lost already.
+    lose_disks(context, [0, 3][:count])
+
+
+@when("voter 1 stops as planned")
+def step_stop_one(context):
+    simulation = context.simulation
+    context.stop_durations_s = [stop_as_planned(simulation, simulation.hosts[1])]
+
+
+@then("the stop takes at most {limit_s:g} s")
+def step_check_stop(context, limit_s):
+    step_check_stops(context, limit_s)
+
+
+@then("voter 1 is a voter of the group again when it has started")
+def step_check_vote_kept(context):
+    simulation = context.simulation
+    host = simulation.hosts[1]
+    host.start(simulation.now_s)
+    simulation.run(2.0)
+    assert host.name in find_replicas(simulation, MemberStanding.VOTER)
+
+
+@when("voter 1 stops as planned, and {delay_s:g} s later an empty host with a new address starts")
+def step_stop_then_replace(context, delay_s):
+    simulation = context.simulation
+    stop_as_planned(simulation, simulation.hosts[1])
+    simulation.run(delay_s)
+    simulation.hosts[5].start(simulation.now_s)
+
+
+@then("within {limit_ms:d} ms one group has 5 voters, the new host among them and voter 1 not")
+def step_check_replaced_soon(context, limit_ms):
+    step_check_replaced(context, limit_ms / 1_000)
