--- a/src/samphirespring/connection/registry_link.py
+++ b/src/samphirespring/connection/registry_link.py
@@ -8,7 +8,7 @@
 
 from samphirespring.connection.link_methods import UnaryMethod
 from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
-from samphirespring.process.targets import HostRecord, RegistryDelta
+from samphirespring.process.targets import HostRecord, RegistryDelta, TargetDeparture
 from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
 
@@ -61,6 +61,38 @@
     """Time since the replying process's last contact with the registry's leader, in seconds."""
 
 
+class RecordDeparture(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Records that a target of a host has left."""
+
+    host: HostId
+    departure: TargetDeparture
+
+
+class ReadDepartures(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Requests the recorded departures of a host's targets."""
+
+    host: HostId
+
+
+class DeparturesReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Reply to `RecordDeparture`, sent once it is committed, and to `ReadDepartures`."""
+
+    departures: tuple[TargetDeparture, ...] = ()
+    leader_link: str | None = None
+    """Link address of the registry's leader, if the replying control host isn't the leader; nothing
+    was recorded or read then."""
+
+
 REPORT_HOSTS: UnaryMethod[ReportBatch, BatchReply] = UnaryMethod(
     path="/samphire.Registry/ReportHosts", request_type=ReportBatch, reply_type=BatchReply
 )
+RECORD_DEPARTURE: UnaryMethod[RecordDeparture, DeparturesReply] = UnaryMethod(
+    path="/samphire.Registry/RecordDeparture",
+    request_type=RecordDeparture,
+    reply_type=DeparturesReply,
+)
+READ_DEPARTURES: UnaryMethod[ReadDepartures, DeparturesReply] = UnaryMethod(
+    path="/samphire.Registry/ReadDepartures",
+    request_type=ReadDepartures,
+    reply_type=DeparturesReply,
+)
--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -1,5 +1,8 @@
 """The agent: admits attempts into the slots of its host's targets and reports their state."""
 
+from collections.abc import Callable
+from functools import partial
+
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
@@ -20,19 +23,25 @@
     RecordProbe,
     RecordStall,
     SetDrain,
+    UseDepartures,
     UsePolicies,
     WithdrawTarget,
 )
 from samphirespring.process.announcement_order import AnnouncementOrder
 from samphirespring.process.condition_watch import ConditionWatch
+from samphirespring.process.departure_guard import DepartureGuard
+from samphirespring.process.departure_recorder import DepartureRecorder
+from samphirespring.process.departure_store import DepartureStore
 from samphirespring.process.detection.observations import Observation
 from samphirespring.process.detection.probe_schedule import ProbePlan
 from samphirespring.process.detection.target_evaluator import TargetEvaluator
 from samphirespring.process.detection.target_health import TRIAL_WEIGHT
+from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.local_policies import LocalPolicies
 from samphirespring.process.local_target import LocalTarget
-from samphirespring.process.mailbox import Mailbox, ask
+from samphirespring.process.log_events import LogEvent
+from samphirespring.process.mailbox import Mailbox, ReplySlot, ReplyT, ask
 from samphirespring.process.metric_names import Counter, Gauge
 from samphirespring.process.metrics import Metrics
 from samphirespring.process.operator_drain import OperatorDrain
@@ -52,6 +61,9 @@
 """Weights that are reported to the registry by condition; the progress of a slow start isn't."""
 
 
+_log = EventLog()
+
+
 class Agent(OwnerTask):
     """Owns the targets of one host: their leases, slots and health records.
 
@@ -61,6 +73,8 @@
         lease_s: Time after which a target without a renewed announcement expires, in seconds.
         timers: The timer service.
         metrics: Receives counters and gauges.
+        departures: Keeps departures of targets over restarts of this process; None keeps them in
+            memory only.
     """
 
     def __init__(
@@ -71,6 +85,7 @@
         lease_s: float,
         timers: TimerService,
         metrics: Metrics,
+        departures: DepartureStore | None = None,
     ) -> None:
         self.inbox: Mailbox[AgentMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self.incarnation = Incarnation(timers.read_wall_ns())
@@ -88,6 +103,10 @@
         self._record: HostRecord | None = None
         self._first_report_at_s = timers.read_now_s() + FIRST_REPORT_WAIT_S
         self._announcement_order = AnnouncementOrder()
+        self._departure_recorder = DepartureRecorder(departures, timers=timers)
+        self._departure_guard = DepartureGuard(
+            is_loaded=departures is None, now_s=timers.read_now_s()
+        )
 
     @property
     def name(self) -> str:
@@ -99,6 +118,8 @@
         async with anyio.create_task_group() as group:
             self._wait_tasks = group
             group.start_soon(self._expire_targets)
+            if self._departure_recorder.has_store:
+                group.start_soon(self._read_departures)
             while True:
                 self._handle(await self.inbox.receive())
 
@@ -119,9 +140,11 @@
             case RecordStall():
                 self._record_stall(message)
             case AnnounceTarget():
-                message.reply.send(self._announce(message))
+                self._announce(message)
             case WithdrawTarget():
-                message.reply.send(self._withdraw(message))
+                self._withdraw(message)
+            case UseDepartures():
+                self._use_departures(message)
             case ReadHostRecord():
                 message.reply.send(self._read_record())
             case DrainHost():
@@ -284,13 +307,67 @@
             service=target.announcement.service,
         )
 
-    def _announce(self, message: AnnounceTarget) -> AnnouncementReceipt:
+    def _announce(self, message: AnnounceTarget) -> None:
         if self._announcement_order.accept(message.target, message.announcement):
-            self._apply_announcement(message.target, message.announcement)
+            self._accept_announcement(message.target, message.announcement)
+        else:
+            _log.info(
+                LogEvent.ANNOUNCEMENT_OUTDATED,
+                target=message.target,
+                started_ms=message.announcement.started_ms,
+                sequence=message.announcement.sequence,
+            )
+        target = self._targets.get(message.target)
+        is_leaving = target is None or target.announcement.phase is not TargetPhase.SERVING
+        if message.announcement.phase is TargetPhase.SERVING or not is_leaving:
+            message.reply.send(self._make_receipt(message.target))
+        else:
+            self._confirm_departure(
+                message.target, message.reply, lambda: self._make_receipt(message.target)
+            )
+
+    def _make_receipt(self, target: TargetId) -> AnnouncementReceipt:
         return AnnouncementReceipt(
-            target=message.target, incarnation=self.incarnation, lease_s=self._lease_s
+            target=target, incarnation=self.incarnation, lease_s=self._lease_s
         )
 
+    def _accept_announcement(self, target: TargetId, announcement: Announcement) -> None:
+        if announcement.phase is TargetPhase.SERVING:
+            self._departure_recorder.forget(target)
+        now_s = self._timers.read_now_s()
+        is_known = target in self._targets
+        if is_known or self._departure_guard.admits(target, announcement, now_s=now_s):
+            self._apply_announcement(target, announcement)
+
+    def _confirm_departure(
+        self, target: TargetId, reply: ReplySlot[ReplyT], make: Callable[[], ReplyT]
+    ) -> None:
+        """Reply to who announced a departure once it is recorded."""
+        departure = self._announcement_order.make_departure(target)
+        if departure is None or self._departure_recorder.covers(departure):
+            reply.send(make())
+            return
+        self._wait_tasks.start_soon(
+            partial(self._departure_recorder.confirm, departure, reply=reply, make=make)
+        )
+
+    async def _read_departures(self) -> None:
+        departures = await self._departure_recorder.read()
+        self.inbox.post(UseDepartures(departures=departures))
+
+    def _use_departures(self, message: UseDepartures) -> None:
+        """Withdraw targets whose departure is on record, and accept the others that wait."""
+        for departure in message.departures:
+            self._announcement_order.restore(departure)
+            target = self._targets.get(departure.target)
+            if target is not None and not self._announcement_order.is_latest(
+                departure.target, target.announcement
+            ):
+                self._withdraw_target(target)
+        for target_id, announcement in self._departure_guard.finish().items():
+            if self._announcement_order.is_latest(target_id, announcement):
+                self._apply_announcement(target_id, announcement)
+
     def _apply_announcement(self, target_id: TargetId, announcement: Announcement) -> None:
         slots = self._policies.find_slots(announcement)
         now_s = self._timers.read_now_s()
@@ -321,18 +398,22 @@
                 previous.address == announcement.address
                 and previous.started_ms < announcement.started_ms
             ):
-                target.withdraw()
-                self._drop_if_finished(target)
+                self._withdraw_target(target)
 
-    def _withdraw(self, message: WithdrawTarget) -> bool:
-        if not self._announcement_order.withdraw(message.target, started_ms=message.started_ms):
-            return False
-        target = self._targets.get(message.target)
-        if target is None:
-            return False
+    def _withdraw(self, message: WithdrawTarget) -> None:
+        target_id = message.target
+        if not self._announcement_order.withdraw(target_id, started_ms=message.started_ms):
+            message.reply.send(False)
+            return
+        self._departure_guard.drop(target_id)
+        target = self._targets.get(target_id)
+        if target is not None:
+            self._withdraw_target(target)
+        self._confirm_departure(target_id, message.reply, lambda: target is not None)
+
+    def _withdraw_target(self, target: LocalTarget) -> None:
         target.withdraw()
         self._drop_if_finished(target)
-        return True
 
     def _measure_load(self) -> None:
         targets = self._targets.values()
@@ -354,8 +435,7 @@
                     now_s=tick.now_s,
                 )
                 if target.lease_expires_at_s <= tick.now_s:
-                    target.withdraw()
-                    self._drop_if_finished(target)
+                    self._withdraw_target(target)
 
     def _drop_if_finished(self, target: LocalTarget) -> None:
         if target.withdrawn and target.running == 0:
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent_messages.py
@@ -26,7 +26,7 @@
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.mailbox import ReplySlot
 from samphirespring.process.states import TargetPhase
-from samphirespring.process.targets import HostRecord, TargetLoad
+from samphirespring.process.targets import HostRecord, TargetDeparture, TargetLoad
 from samphirespring.process.tasks import StateDump
 from samphirespring.request.ids import AttemptId
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
@@ -93,6 +93,12 @@
     """Whether the target was registered."""
 
 
+class UseDepartures(msgspec.Struct, frozen=True, kw_only=True):
+    """Delivers the departures that earlier processes of this host recorded."""
+
+    departures: tuple[TargetDeparture, ...]
+
+
 class AdmitAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Requests a slot for an attempt."""
 
@@ -199,6 +205,7 @@
 AgentMessage = (
     AnnounceTarget
     | WithdrawTarget
+    | UseDepartures
     | AdmitAttempt
     | FinishAttempt
     | ListProbePlans
--- a/src/samphirespring/process/announcement_order.py
+++ b/src/samphirespring/process/announcement_order.py
@@ -4,6 +4,7 @@
 
 from samphirespring.process.agent_messages import Announcement
 from samphirespring.process.ids import TargetId
+from samphirespring.process.targets import TargetDeparture
 
 TRACKED_TARGETS = 1_000
 """Maximum number of targets whose latest announcement is tracked, also after a withdrawal."""
@@ -30,12 +31,21 @@
             target: The target.
             announcement: The announcement.
         """
-        order = (announcement.started_ms, announcement.sequence)
-        if order < self._latest.get(target, (0, 0)):
+        if not self.is_latest(target, announcement):
             return False
-        self._record(target, order)
+        self._record(target, (announcement.started_ms, announcement.sequence))
         return True
 
+    def is_latest(self, target: TargetId, announcement: Announcement) -> bool:
+        """Return whether no newer announcement or withdrawal of the target is known.
+
+        Args:
+            target: The target.
+            announcement: The announcement.
+        """
+        order = (announcement.started_ms, announcement.sequence)
+        return order >= self._latest.get(target, (0, 0))
+
     def withdraw(self, target: TargetId, *, started_ms: int) -> bool:
         """Return whether a withdrawal applies to the latest start, and record it if so.
 
@@ -54,6 +64,27 @@
             self._record(target, (max(started_ms, latest_ms), WITHDRAWN_SEQUENCE))
         return True
 
+    def restore(self, departure: TargetDeparture) -> None:
+        """Reject announcements before a departure that was recorded earlier.
+
+        Args:
+            departure: The departure.
+        """
+        order = (departure.started_ms, departure.sequence)
+        if order > self._latest.get(departure.target, (0, 0)):
+            self._record(departure.target, order)
+
+    def make_departure(self, target: TargetId) -> TargetDeparture | None:
+        """Return the latest announcement of a target as its departure, or None if there is none.
+
+        Args:
+            target: The target.
+        """
+        order = self._latest.get(target)
+        if order is None:
+            return None
+        return TargetDeparture(target=target, started_ms=order[0], sequence=order[1])
+
     def _record(self, target: TargetId, order: tuple[int, int]) -> None:
         self._latest[target] = order
         self._latest.move_to_end(target)
--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -18,7 +18,11 @@
 from samphirespring.connection.link_server import LinkHandler, UnaryHandler, serve_link
 from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.connection.operator_http import OperatorApp
-from samphirespring.connection.registry_link import REPORT_HOSTS
+from samphirespring.connection.registry_link import (
+    READ_DEPARTURES,
+    RECORD_DEPARTURE,
+    REPORT_HOSTS,
+)
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
 from samphirespring.process.control_groups import ControlGroups
 from samphirespring.process.document.initializer import DocumentInitializer
@@ -171,6 +175,8 @@
             UnaryHandler(FETCH_DELTA, self._document_store.fetch),
             UnaryHandler(REPORT_IN_FORCE, self._document_store.record_report),
             UnaryHandler(REPORT_HOSTS, self._registry.report),
+            UnaryHandler(RECORD_DEPARTURE, self._registry.record_departure),
+            UnaryHandler(READ_DEPARTURES, self._registry.read_departures),
             *self._groups.make_handlers(),
             *self._ledger.make_handlers(),
         ]
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -60,6 +60,7 @@
 from samphirespring.process.node_operations import NodeOperations
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
+from samphirespring.process.registry.departure_client import RegistryDepartures
 from samphirespring.process.registry.initial_table import InitialTableSearch
 from samphirespring.process.registry.report_sender import TreeReportSender
 from samphirespring.process.registry_client import RegistryClient
@@ -167,6 +168,7 @@
             lease_s=settings.announcement_lease_s,
             timers=self._timers,
             metrics=metrics,
+            departures=RegistryDepartures(host=locality.host, control=control_client),
         )
         self._action_guard = ActionGuard(incarnation=self._agent.incarnation, timers=self._timers)
         self._attempt_runner = AttemptRunner(
--- /dev/null
+++ b/src/samphirespring/process/departure_store.py
@@ -0,0 +1,35 @@
+"""Durable record of the targets of a host that left, which outlives the host's process."""
+
+from abc import ABC, abstractmethod
+
+from samphirespring.process.errors import ErrorCode, SamphireError
+from samphirespring.process.targets import TargetDeparture
+
+
+class DepartureUnrecordedError(SamphireError):
+    """A target left, but a restart of this process could forget it; the caller may try again."""
+
+    code = ErrorCode.DEPARTURE_UNRECORDED
+
+
+class DepartureStore(ABC):
+    """Keeps the departures of one host's targets."""
+
+    @abstractmethod
+    async def record(self, departure: TargetDeparture) -> None:
+        """Return once a departure is durable.
+
+        Args:
+            departure: The departure.
+
+        Raises:
+            SamphireError: It isn't known to be durable.
+        """
+
+    @abstractmethod
+    async def read(self) -> tuple[TargetDeparture, ...]:
+        """Return the latest departure of each target, also those of earlier processes.
+
+        Raises:
+            SamphireError: The record can't be reached.
+        """
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -44,6 +44,7 @@
     LINK_MESSAGE_INVALID = "link_message_invalid"
     ANNOUNCEMENT_INVALID = "announcement_invalid"
     TARGET_UNKNOWN = "target_unknown"
+    DEPARTURE_UNRECORDED = "departure_unrecorded"
     HOST_UNKNOWN = "host_unknown"
     LIST_UNKNOWN = "list_unknown"
     GROUP_UNKNOWN = "group_unknown"
--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -32,6 +32,9 @@
     PATH_LOST = "path_lost"
     PATH_FOUND = "path_found"
     DRAIN_SET = "drain_set"
+    TARGET_LEFT = "target_left"
+    DEPARTURES_READ = "departures_read"
+    ANNOUNCEMENT_OUTDATED = "announcement_outdated"
 
     # Registry.
     REGISTRY_LOST = "registry_lost"
--- a/src/samphirespring/process/registry/commands.py
+++ b/src/samphirespring/process/registry/commands.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
-from samphirespring.process.targets import HostRecord
+from samphirespring.process.targets import HostRecord, TargetDeparture
 
 
 class HostRemoval(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -14,11 +14,19 @@
     sequence: int
 
 
+class HostDeparture(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Departure of a target on a host."""
+
+    host: HostId
+    departure: TargetDeparture
+
+
 class ChangeHosts(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Changes of some hosts, applied together."""
 
     records: tuple[HostRecord, ...] = ()
     removals: tuple[HostRemoval, ...] = ()
+    departures: tuple[HostDeparture, ...] = ()
 
 
 class HostsChanged(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -49,3 +57,4 @@
     """Oldest version from which a delta can be computed."""
 
     entries: tuple[HostEntry, ...]
+    departures: tuple[HostDeparture, ...] = ()
--- a/src/samphirespring/process/registry/record_check.py
+++ b/src/samphirespring/process/registry/record_check.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from samphirespring.process.bounds import MAX_NAME_LENGTH, MAX_SLOTS, IpPort, check_address
-from samphirespring.process.targets import HostRecord, TargetRecord
+from samphirespring.process.ids import HostId
+from samphirespring.process.targets import HostRecord, TargetDeparture, TargetRecord
+
+MAX_ORDER = (1 << 63) - 1
+"""Largest number that every reader of a record can hold."""
 
 
 def select_valid(records: Iterable[HostRecord]) -> tuple[list[HostRecord], list[str]]:
@@ -43,6 +47,20 @@
     return next(filter(None, map(_find_target_problem, record.targets)), None)
 
 
+def find_departure_problem(host: HostId, departure: TargetDeparture) -> str | None:
+    """Return why a departure can't be recorded, or None if it can.
+
+    Args:
+        host: Host of the target.
+        departure: The departure.
+    """
+    if not _is_name(host) or not _is_name(departure.target):
+        return "invalid name of the host or the target"
+    if not 0 <= departure.started_ms <= MAX_ORDER or not 0 <= departure.sequence <= MAX_ORDER:
+        return "start or sequence of the departure out of range"
+    return None
+
+
 def _find_target_problem(record: TargetRecord) -> str | None:
     if not _is_name(record.target) or not _is_name(record.service):
         return "invalid name of a target or its service"
--- a/src/samphirespring/process/registry/report_sender.py
+++ b/src/samphirespring/process/registry/report_sender.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.registry_link import REPORT_HOSTS, BatchReply, ReportBatch
 from samphirespring.process.control_client import ControlClient
@@ -17,9 +16,6 @@
 from samphirespring.process.target_table import ReadPeers, TableMessage
 from samphirespring.process.timers import TimerService
 
-MAX_LEADER_REDIRECTS = 3
-"""Number of calls in a row that may be redirected to another control host before a batch fails."""
-
 NO_TABLE = RegistryVersion(0)
 RELAY_TIMEOUT_S = 1.0
 TABLE_TIMEOUT_S = 5.0
@@ -101,16 +97,7 @@
             reply = await self._send_to_relay(sources.addresses[0], batch)
             if reply is not None:
                 return reply
-        return await self._send_to_leader(batch)
-
-    async def _send_to_leader(self, batch: ReportBatch) -> BatchReply:
-        """Send a batch to the registry's leader, following redirects of other control hosts."""
-        for _ in range(MAX_LEADER_REDIRECTS):
-            reply = await self._control_client.call(REPORT_HOSTS, batch)
-            if reply.leader_link is None:
-                return reply
-            self._control_client.prefer(reply.leader_link)
-        raise LinkUnavailableError("no control host is the registry's leader", sent=True)
+        return await self._control_client.call_leader(REPORT_HOSTS, batch)
 
     async def _send_first(self, batch: ReportBatch) -> BatchReply:
         reply = await self._request_table(self._search.list_peers(), batch)
@@ -122,7 +109,7 @@
             initial_table_host=self._own_host if accepts_suggestions else None,
             unreachable_sources=self._search.unreachable_sources,
         )
-        reply = await self._send_to_leader(first_batch)
+        reply = await self._control_client.call_leader(REPORT_HOSTS, first_batch)
         new_peers = self._search.record_suggested_peers(reply.table_sources)
         # The control hosts have received the reports, so the suggested peers are only requested to
         # send the table.
--- a/src/samphirespring/process/registry/state_machine.py
+++ b/src/samphirespring/process/registry/state_machine.py
@@ -12,9 +12,10 @@
     HostsChanged,
     RegistrySnapshot,
 )
+from samphirespring.process.registry.departure_table import DepartureTable
 from samphirespring.process.registry.versioned_hosts import REMOVAL_CAPACITY, VersionedHosts
 from samphirespring.process.replication.state_machine import StateMachine
-from samphirespring.process.targets import HostRecord, RegistryDelta
+from samphirespring.process.targets import HostRecord, RegistryDelta, TargetDeparture
 
 
 class RegistryStateMachine(StateMachine[ChangeHosts, HostsChanged, RegistrySnapshot]):
@@ -30,6 +31,7 @@
 
     def __init__(self, *, removal_capacity: int = REMOVAL_CAPACITY) -> None:
         self._hosts = VersionedHosts(removal_capacity=removal_capacity)
+        self._departures = DepartureTable()
         self._hosts_by_address: dict[str, HostId] = {}
         """The present host at each link address."""
 
@@ -40,6 +42,8 @@
 
     def apply(self, *, index: LogIndex, command: ChangeHosts) -> HostsChanged:
         """Apply the changes that are newer than the recorded state; drop the others."""
+        for entry in command.departures:
+            self._departures.record(entry)
         version = RegistryVersion(self._hosts.version + 1)
         changed = [host for record in command.records for host in self._put(record, version)]
         changed += [removal.host for removal in command.removals if self._remove(removal, version)]
@@ -50,11 +54,14 @@
 
     def capture_snapshot(self) -> RegistrySnapshot:
         """Return the whole registry."""
-        return self._hosts.capture_snapshot()
+        return msgspec.structs.replace(
+            self._hosts.capture_snapshot(), departures=self._departures.capture()
+        )
 
     def restore_snapshot(self, snapshot: RegistrySnapshot) -> None:
         """Replace the whole registry."""
         self._hosts.restore_snapshot(snapshot)
+        self._departures.restore(snapshot.departures)
         self._hosts_by_address = {
             entry.record.link_address: entry.host
             for entry in self._hosts.list_present()
@@ -69,6 +76,14 @@
         """
         return self._hosts.read_entry(host)
 
+    def list_departures(self, host: HostId) -> tuple[TargetDeparture, ...]:
+        """Return the departures of a host's targets.
+
+        Args:
+            host: The host, which may be removed.
+        """
+        return self._departures.list_host(host)
+
     def list_present(self) -> tuple[HostEntry, ...]:
         """Return the entries of all present hosts."""
         return self._hosts.list_present()
--- a/src/samphirespring/process/registry_service.py
+++ b/src/samphirespring/process/registry_service.py
@@ -5,10 +5,17 @@
 import anyio
 import msgspec
 
-from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
+from samphirespring.connection.registry_link import (
+    BatchReply,
+    DeparturesReply,
+    HostReport,
+    ReadDepartures,
+    RecordDeparture,
+    ReportBatch,
+)
 from samphirespring.process.bounds import MAX_NAME_LENGTH
 from samphirespring.process.control_directory import compute_digest
-from samphirespring.process.errors import SamphireError
+from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId, RegistryVersion, ReplicaId
 from samphirespring.process.log_events import LogEvent
@@ -25,12 +32,13 @@
 )
 from samphirespring.process.registry.commands import (
     ChangeHosts,
+    HostDeparture,
     HostEntry,
     HostRemoval,
     HostsChanged,
 )
 from samphirespring.process.registry.leases import HostLeases
-from samphirespring.process.registry.record_check import find_problem
+from samphirespring.process.registry.record_check import find_departure_problem, find_problem
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry.table_distribution import TableDistribution
 from samphirespring.process.replication.errors import BusyError
@@ -48,6 +56,12 @@
 _log = EventLog()
 
 
+class HostRecordInvalidError(SamphireError):
+    """A record that a host sent has invalid fields."""
+
+    code = ErrorCode.ANNOUNCEMENT_INVALID
+
+
 class ReceiveReport(msgspec.Struct, frozen=True, kw_only=True):
     """Delivers the reports of some hosts."""
 
@@ -189,6 +203,49 @@
         """
         return await ask(self.inbox, lambda reply: ReceiveReport(batch=batch, reply=reply))
 
+    async def record_departure(self, request: RecordDeparture) -> DeparturesReply:
+        """Commit the departure of a target.
+
+        Args:
+            request: The host and the departure.
+
+        Raises:
+            SamphireError: It isn't known to be committed.
+        """
+        problem = find_departure_problem(request.host, request.departure)
+        if problem is not None:
+            raise HostRecordInvalidError(problem)
+        entry = HostDeparture(host=request.host, departure=request.departure)
+        try:
+            await self._proposer.propose(ChangeHosts(departures=(entry,)))
+        except NotLeaderError as error:
+            return await self._redirect_to_leader(error)
+        return DeparturesReply()
+
+    async def read_departures(self, request: ReadDepartures) -> DeparturesReply:
+        """Return the departures of a host's targets, as committed by a quorum.
+
+        Args:
+            request: The host.
+
+        Raises:
+            SamphireError: No quorum confirms that this control host leads.
+        """
+        try:
+            await self._proposer.confirm_leadership(by_heartbeat_round=True)
+        except NotLeaderError as error:
+            return await self._redirect_to_leader(error)
+        departures = await self._proposer.read(
+            lambda: self._state_machine.list_departures(request.host)
+        )
+        return DeparturesReply(departures=departures)
+
+    async def _redirect_to_leader(self, error: NotLeaderError) -> DeparturesReply:
+        link = await self._find_leader_link(error)
+        if link is None:
+            raise error
+        return DeparturesReply(leader_link=link)
+
     async def read_table(self) -> RegistryDelta:
         """Return the whole table."""
         return await ask(self.inbox, lambda reply: ReadTable(reply=reply))
--- a/src/samphirespring/process/targets.py
+++ b/src/samphirespring/process/targets.py
@@ -65,6 +65,17 @@
     targets: tuple[TargetRecord, ...] = ()
 
 
+class TargetDeparture(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A target that withdrew or began to drain: its earlier announcements are outdated."""
+
+    target: TargetId
+    started_ms: int
+    """Start of the backend server that left, in milliseconds of wall time."""
+
+    sequence: int
+    """Announcements of this start with a lower number are outdated, and those of earlier starts."""
+
+
 class RegistryDelta(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Changes of the registry between two versions."""
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -34,6 +34,54 @@
     And a heartbeat of "i-1" is received with state "ready", sequence 4 and start 1000
     Then the agent has no target
 
+  # Guards against a target that gets requests again after it left, because the node next to it was
+  # restarted and a heartbeat from before comes late.
+  Scenario Outline: A late heartbeat doesn't bring back a target that left before a restart
+    Given a node that records departures
+    When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
+    And "i-1" <leaves>
+    And the node restarts
+    And a heartbeat of "i-1" is received with state "ready", sequence 4 and start 1000
+    Then the agent has no target in use
+    When a heartbeat of "i-1" is received with state "ready", sequence 0 and start 2000
+    Then the agent's target "i-1" is "serving"
+
+    Examples:
+      | leaves                                                             |
+      | deregisters with start 1000                                        |
+      | deregisters without a body                                         |
+      | sends a heartbeat with state "draining", sequence 5 and start 1000 |
+
+  Scenario: Departures are kept over several restarts
+    Given a node that records departures
+    When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
+    And "i-1" deregisters with start 1000
+    And the node restarts
+    And the node restarts
+    And a heartbeat of "i-1" is received with state "ready", sequence 9 and start 1000
+    Then the agent has no target in use
+
+  Scenario: A departure that isn't recorded isn't confirmed, and is in force all the same
+    Given a node that records departures
+    When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
+    And no control host can be reached
+    And "i-1" tries to deregister with start 1000
+    Then the departure is refused with "departure_unrecorded"
+    And the agent has no target in use
+
+  Scenario: A target that serves is used at once after a restart
+    Given a node that records departures
+    When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
+    And the node restarts
+    And a heartbeat of "i-1" is received with state "ready", sequence 4 and start 1000
+    Then the agent's target "i-1" is "serving"
+
+  Scenario: A node that reaches no control host after a restart takes targets that repeat themselves
+    Given a node that records departures
+    When no control host can be reached
+    And the node restarts, and heartbeats of "i-1" come after 0.5, 1.0 and 2.5 s
+    Then the target is in use after the last of them only
+
   Scenario: A new target replaces the previous one at the same address
     When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
     And a heartbeat of "i-2" is received with state "ready", sequence 0 and start 3000
--- a/tests/features/registry.feature
+++ b/tests/features/registry.feature
@@ -89,6 +89,27 @@
     When the target table waits 2 s
     Then the target table has 0 hosts
 
+  Scenario: Departures of targets are kept while their host is gone, and over a snapshot
+    Given a registry service that records departures
+    When target "t" of host "h1" leaves with start 7 and sequence 3, and then with sequence 2
+    And host "h1" is removed, and the registry is restored from its snapshot
+    Then a restarted node of host "h1" reads the departure of "t" with start 7 and sequence 3
+    And a restarted node of host "h2" reads no departure
+
+  Scenario: Departures are bounded for each host and in all
+    When targets of 10,050 hosts leave, and then 40 targets of one more host
+    Then the registry keeps the latest 16 of that host, and 10,000 hosts
+
+  Scenario: A departure is neither recorded nor read at a control host that isn't the leader
+    Given a registry service that records departures
+    When a departure is recorded and read while "b" is the leader
+    Then both replies have the leader's link address, and nothing is recorded
+
+  Scenario: A departure with a number out of range is refused
+    Given a registry service that records departures
+    When a departure with sequence 2^63 is recorded
+    Then it is refused with "announcement_invalid", and nothing is recorded
+
   Scenario: A control host that isn't the leader replies with the leader's address
     Given a registry service with a log that counts its commands
     When a host reports to the service while "b" is the leader
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -448,7 +448,8 @@
 
 @then("each commits a command and has 5 running voters within {limit_s:g} s")
 def step_check_fleets_commit(context, limit_s):
-    for context.simulation in context.fleets:
+    for simulation in context.fleets:
+        context.simulation = simulation
         step_check_commits(context, limit_s, VOTER_COUNT)
 
 
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -9,7 +9,8 @@
 from document.asgi import call_app
 from front.fakes import make_attempt_message
 from samphirespring.connection.http_server import ACCEPTED_REQUEST_TIMEOUT_S
-from samphirespring.platform.announcements import AnnouncementApp
+from samphirespring.connection.link_errors import LinkUnavailableError
+from samphirespring.platform.announcements import AnnouncementApp, parse_heartbeat
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
 from samphirespring.platform.configuration import (
@@ -21,12 +22,16 @@
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
 from samphirespring.platform.units import parse_seconds
 from samphirespring.process.agent import Agent
+from samphirespring.process.agent_messages import AnnounceTarget
+from samphirespring.process.departure_store import DepartureStore
 from samphirespring.process.document.commands import ChangeSection, DocumentSnapshot
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.document.state_machine import DocumentStateMachine
+from samphirespring.process.mailbox import ask
 from samphirespring.process.metrics import NullMetrics
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.replication.state_machine import LocalProposer, NotLeaderError
+from samphirespring.process.states import TargetPhase
 from samphirespring.process.targets import Locality
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.body import EMPTY_BODY
@@ -83,16 +88,41 @@
     return heartbeat
 
 
+class MemoryDepartures(DepartureStore):
+    """Keeps departures as the registry does, and can be out of reach."""
+
+    def __init__(self):
+        self.departures = {}
+        self.is_reachable = True
+
+    async def record(self, departure):
+        self._check_reachable()
+        self.departures[departure.target] = departure
+
+    async def read(self):
+        self._check_reachable()
+        return tuple(self.departures.values())
+
+    def _check_reachable(self):
+        if not self.is_reachable:
+            raise LinkUnavailableError("no control host replied", sent=True)
+
+
+def make_agent(departures=None, timers=None):
+    return Agent(
+        locality=Locality(region="r", failure_domain="a", host="h"),
+        link_address="10.1.0.41:7600",
+        lease_s=5.0,
+        timers=timers or ManualTimerService(),
+        metrics=NullMetrics(),
+        departures=departures,
+    )
+
+
 def run_with_agent(context, call):
     """Await `call(app)` while the agent's task runs; keep the response and the agent's dump."""
     if not hasattr(context, "agent"):
-        context.agent = Agent(
-            locality=Locality(region="r", failure_domain="a", host="h"),
-            link_address="10.1.0.41:7600",
-            lease_s=5.0,
-            timers=ManualTimerService(),
-            metrics=NullMetrics(),
-        )
+        context.agent = make_agent()
     app = AnnouncementApp(
         context.agent.inbox,
         readiness=NodeReadiness(has_document=lambda: True, has_table=lambda: True),
@@ -531,6 +561,79 @@
     assert control_settings.operator_port == 8620
 
 
+@given("a node that records departures")
+def step_recording_node(context):
+    context.departures = MemoryDepartures()
+    context.agent = make_agent(context.departures)
+
+
+@when("the node restarts")
+def step_restart_node(context):
+    context.agent = make_agent(context.departures)
+
+
+@when("no control host can be reached")
+def step_lose_control(context):
+    context.departures.is_reachable = False
+
+
+@when('"{target}" sends a heartbeat with state "{state}", sequence {sequence:d} and start {ms:d}')
+def step_send_heartbeat(context, target, state, sequence, ms):
+    step_receive_heartbeat(context, target, state, sequence, ms)
+
+
+@when('"{target}" tries to deregister with start {ms:d}')
+def step_try_to_deregister(context, target, ms):
+    post(context, f"/api/instances/{target}/deregister", {"born": ms})
+
+
+@then('the departure is refused with "{code}"')
+def step_check_unconfirmed(context, code):
+    assert context.response.status == 503, context.response
+    assert context.response.read_json()["code"] == code
+
+
+@then("the agent has no target in use")
+def step_check_no_target_in_use(context):
+    phases = [target.announcement.phase for target in context.agent_dump.targets]
+    assert TargetPhase.SERVING not in phases, context.agent_dump
+
+
+@when(
+    'the node restarts, and heartbeats of "{target}" come after'
+    " {first:g}, {second:g} and {third:g} s"
+)
+def step_send_series(context, target, first, second, third):
+    timers = ManualTimerService()
+    agent = make_agent(context.departures, timers)
+    context.used_after = []
+
+    async def announce(sequence):
+        text = json.dumps(make_heartbeat(sequence=sequence)).encode()
+        await ask(
+            agent.inbox,
+            lambda reply: AnnounceTarget(
+                target=target, announcement=parse_heartbeat(text), reply=reply
+            ),
+        )
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(agent.run)
+            for sequence, at_s in enumerate((first, second, third), start=4):
+                timers.advance(at_s - timers.read_now_s())
+                await announce(sequence)
+                context.used_after.append(len((await agent.dump()).targets))
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("the target is in use after the last of them only")
+def step_check_used_after(context):
+    assert context.used_after == [0, 0, 1], context.used_after
+
+
 @when("a node's settings are read with a grace of {grace}")
 def step_read_grace(context, grace):
     settings = PlatformNodeSettings(
--- a/tests/features/steps/registry_steps.py
+++ b/tests/features/steps/registry_steps.py
@@ -3,20 +3,35 @@
 
 import anyio
 import anyio.lowlevel
+import msgspec
 from behave import given, then, when
 from hypothesis import given as given_random
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from samphirespring.connection.link_errors import LinkUnavailableError
-from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
+from samphirespring.connection.registry_link import (
+    BatchReply,
+    DeparturesReply,
+    HostReport,
+    ReadDepartures,
+    RecordDeparture,
+    ReportBatch,
+)
 from samphirespring.process.agent import Agent
 from samphirespring.process.agent_messages import Announcement, AnnounceTarget
 from samphirespring.process.control_client import ControlClient
 from samphirespring.process.document.sources import SourceChooser
+from samphirespring.process.errors import SamphireError
 from samphirespring.process.mailbox import ask
 from samphirespring.process.metrics import NullMetrics
-from samphirespring.process.registry.commands import ChangeHosts, HostRemoval
+from samphirespring.process.registry.commands import (
+    ChangeHosts,
+    HostDeparture,
+    HostRemoval,
+    RegistrySnapshot,
+)
+from samphirespring.process.registry.departure_table import DepartureTable
 from samphirespring.process.registry.initial_table import InitialTableSearch
 from samphirespring.process.registry.report_sender import ReportSender, TreeReportSender
 from samphirespring.process.registry.state_machine import RegistryStateMachine
@@ -31,6 +46,7 @@
     NO_DELTA,
     HostRecord,
     Locality,
+    TargetDeparture,
     TargetLoad,
     TargetRecord,
 )
@@ -194,7 +210,7 @@
         self.command_count += 1
         return await super().propose(command)
 
-    async def confirm_leadership(self):
+    async def confirm_leadership(self, *, by_heartbeat_round=False):
         if self.is_busy:
             raise BusyError("the log is busy")
         if not self.is_leader:
@@ -706,3 +722,106 @@
     record = run_restarted(context)
     assert record.incarnation == context.restarted.agent.incarnation
     assert record.targets == ()
+
+
+@given("a registry service that records departures")
+def step_make_recording_service(context):
+    context.registry = RegistrySimulation()
+
+
+def make_departure(target, *, started_ms=1, sequence=1):
+    return TargetDeparture(target=target, started_ms=started_ms, sequence=sequence)
+
+
+def record_departures(context, *departures):
+    async def main():
+        for departure in departures:
+            request = RecordDeparture(host="h1", departure=departure)
+            context.reply = await context.registry.service.record_departure(request)
+
+    anyio.run(main)
+
+
+def read_departures(context, host):
+    request = ReadDepartures(host=host)
+    return anyio.run(context.registry.service.read_departures, request)
+
+
+@when(
+    'target "t" of host "h1" leaves with start {ms:d} and sequence {first:d},'
+    " and then with sequence {second:d}"
+)
+def step_leave(context, ms, first, second):
+    record_departures(
+        context,
+        make_departure("t", started_ms=ms, sequence=first),
+        make_departure("t", started_ms=ms, sequence=second),
+    )
+
+
+@when('host "h1" is removed, and the registry is restored from its snapshot')
+def step_remove_and_restore(context):
+    state_machine = context.registry.state_machine
+    state_machine.apply(index=1, command=ChangeHosts(records=(make_record(1),)))
+    state_machine.apply(index=2, command=ChangeHosts(removals=(make_removal(1),)))
+    snapshot = msgspec.msgpack.encode(state_machine.capture_snapshot())
+    state_machine.restore_snapshot(msgspec.msgpack.decode(snapshot, type=RegistrySnapshot))
+
+
+@then(
+    'a restarted node of host "{host}" reads the departure of "{target}"'
+    " with start {ms:d} and sequence {sequence:d}"
+)
+def step_check_departure(context, host, target, ms, sequence):
+    expected = make_departure(target, started_ms=ms, sequence=sequence)
+    assert read_departures(context, host).departures == (expected,)
+
+
+@then('a restarted node of host "{host}" reads no departure')
+def step_check_no_departure(context, host):
+    assert read_departures(context, host).departures == ()
+
+
+@when("targets of 10,050 hosts leave, and then {count:d} targets of one more host")
+def step_leave_many(context, count):
+    context.departure_table = DepartureTable()
+    hosts = [f"h{number}" for number in range(1, 10_051)] + ["h0"] * count
+    for number, host in enumerate(hosts):
+        departure = make_departure(f"t{number}")
+        context.departure_table.record(HostDeparture(host=host, departure=departure))
+
+
+@then("the registry keeps the latest {count:d} of that host, and 10,000 hosts")
+def step_check_kept(context, count):
+    kept = [departure.target for departure in context.departure_table.list_host("h0")]
+    assert kept == [f"t{number}" for number in range(10_090 - count, 10_090)], kept
+    assert len({entry.host for entry in context.departure_table.capture()}) == 10_000
+
+
+@when('a departure is recorded and read while "{leader}" is the leader')
+def step_record_at_follower(context, leader):
+    context.registry.proposer.is_leader = False
+    context.registry.proposer.leader = leader
+    record_departures(context, make_departure("t"))
+    context.read_reply = read_departures(context, "h1")
+
+
+@then("both replies have the leader's link address, and nothing is recorded")
+def step_check_departure_redirect(context):
+    for reply in (context.reply, context.read_reply):
+        assert reply == DeparturesReply(leader_link="link-of-b"), reply
+    assert context.registry.state_machine.list_departures("h1") == ()
+
+
+@when("a departure with sequence 2^63 is recorded")
+def step_record_odd(context):
+    try:
+        record_departures(context, make_departure("t", sequence=1 << 63))
+    except SamphireError as error:
+        context.error = error
+
+
+@then('it is refused with "{code}", and nothing is recorded')
+def step_check_odd(context, code):
+    assert context.error.code.value == code
+    assert context.registry.state_machine.list_departures("h1") == ()
