--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -28,6 +28,7 @@
     WithdrawTarget,
 )
 from samphirespring.process.announcement_order import AnnouncementOrder
+from samphirespring.process.bounds import UNKNOWN_START
 from samphirespring.process.condition_watch import ConditionWatch
 from samphirespring.process.departure_guard import DepartureGuard
 from samphirespring.process.departure_recorder import DepartureRecorder
@@ -311,12 +312,7 @@
         if self._announcement_order.accept(message.target, message.announcement):
             self._accept_announcement(message.target, message.announcement)
         else:
-            _log.info(
-                LogEvent.ANNOUNCEMENT_OUTDATED,
-                target=message.target,
-                started_ms=message.announcement.started_ms,
-                sequence=message.announcement.sequence,
-            )
+            self._log_outdated(message.target, message.announcement)
         target = self._targets.get(message.target)
         is_leaving = target is None or target.announcement.phase is not TargetPhase.SERVING
         if message.announcement.phase is TargetPhase.SERVING or not is_leaving:
@@ -326,6 +322,14 @@
                 message.target, message.reply, lambda: self._make_receipt(message.target)
             )
 
+    def _log_outdated(self, target: TargetId, announcement: Announcement) -> None:
+        _log.info(
+            LogEvent.ANNOUNCEMENT_OUTDATED,
+            target=target,
+            started_ms=announcement.started_ms,
+            sequence=announcement.sequence,
+        )
+
     def _make_receipt(self, target: TargetId) -> AnnouncementReceipt:
         return AnnouncementReceipt(
             target=target, incarnation=self.incarnation, lease_s=self._lease_s
@@ -374,6 +378,9 @@
         lease_expires_at_s = now_s + self._lease_s
         target = self._targets.get(target_id)
         if target is None:
+            if self._has_later_start(announcement):
+                self._log_outdated(target_id, announcement)
+                return
             self._withdraw_predecessors(announcement)
             target = LocalTarget(
                 target=target_id,
@@ -390,6 +397,17 @@
                 announcement, slots=slots, lease_expires_at_s=lease_expires_at_s, now_s=now_s
             )
 
+    def _has_later_start(self, announcement: Announcement) -> bool:
+        """Return whether a backend server that started later has announced itself at the address.
+
+        The announced one has ended then, and its announcement comes late.
+        """
+        return any(
+            target.announcement.address == announcement.address
+            and target.announcement.started_ms > announcement.started_ms != UNKNOWN_START
+            for target in self._targets.values()
+        )
+
     def _withdraw_predecessors(self, announcement: Announcement) -> None:
         """Withdraw targets at the same address that an earlier start of the server announced."""
         for target in tuple(self._targets.values()):
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -88,6 +88,15 @@
     Then the agent's target "i-2" is "serving"
     And the agent has 1 target
 
+  # Guards against two targets at one address, of which the first has crashed: requests for it would
+  # reach its successor and be refused there.
+  Scenario: A late heartbeat of a crashed target doesn't bring it back beside its successor
+    When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
+    And a heartbeat of "i-2" is received with state "ready", sequence 0 and start 3000
+    And a heartbeat of "i-1" is received with state "ready", sequence 4 and start 1000
+    Then the agent's target "i-2" is "serving"
+    And the agent has 1 target
+
   # Guards against requests that a stopping node accepts and then cuts off, because its shares of a
   # long grace end well before the grace does.
   Scenario Outline: A stopping node uses the whole time that it has for requests it accepted
