--- a/src/samphirespring/process/replication/membership_coordinator.py
+++ b/src/samphirespring/process/replication/membership_coordinator.py
@@ -61,10 +61,16 @@
     def record_joiner(self, joiner: Member, *, now_s: float) -> None:
         """Record the announcement of a replica with an empty folder.
 
+        It replaces the announcement of an earlier member of the replica, which has lost its disk.
+
         Args:
             joiner: Member record of the replica.
             now_s: Monotonic time, in seconds.
         """
+        for earlier in tuple(self._joiners.values()):
+            if earlier.replica == joiner.replica and earlier.member != joiner.member:
+                del self._joiners[earlier.member]
+                del self._announced_at_s[earlier.member]
         self._joiners[joiner.member] = joiner
         self._announced_at_s[joiner.member] = now_s
 
--- a/tests/features/control_discovery.feature
+++ b/tests/features/control_discovery.feature
@@ -114,3 +114,10 @@
     When voter 1 is lost permanently and an empty host with a new address starts at once
     And 4 s later 2 other voters lose their disks
     Then the commit is kept and within 12 s one group has 5 voters
+
+  # Guards against a host whose two latest members replace each other over and over, because the
+  # announcement of the earlier one still counts.
+  Scenario: A host that loses its disk while it joins is added as its new member
+    Given a group of 5 voters discovered from 3 seeds
+    When an empty host with a new address starts, loses its disk 0.3 s later and starts again
+    Then after 3 s only its new member is a learner, and the membership has changed at most 4 times
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -506,3 +506,30 @@
 def step_lose_others(context, delay_s, count):
     context.simulation.run(delay_s)
     lose_disks(context, [0, 3][:count])
+
+
+@when(
+    "an empty host with a new address starts, loses its disk {delay_s:g} s later and starts again"
+)
+def step_join_twice(context, delay_s):
+    simulation = context.simulation
+    host = simulation.hosts[5]
+    context.end_before = simulation.checks.committed_end
+    host.start(simulation.now_s)
+    simulation.run(delay_s)
+    host.lose_disk()
+    host.start(simulation.now_s)
+
+
+@then(
+    "after {wait_s:g} s only its new member is a learner,"
+    " and the membership has changed at most {count:d} times"
+)
+def step_check_joined_again(context, wait_s, count):
+    simulation = context.simulation
+    simulation.run(wait_s)
+    members = find_membership(simulation).members
+    learners = [m.member for m in members if m.standing is MemberStanding.LEARNER]
+    assert learners == [simulation.hosts[5].last_identity], learners
+    changes = simulation.checks.committed_end - context.end_before
+    assert changes <= count, changes
