--- a/tests/features/control_discovery.feature
+++ b/tests/features/control_discovery.feature
@@ -121,3 +121,10 @@
     Given a group of 5 voters discovered from 3 seeds
     When an empty host with a new address starts, loses its disk 0.3 s later and starts again
     Then after 3 s only its new member is a learner, and the membership has changed at most 4 times
+
+  # Guards against a learner that is added and removed over and over until it replies, because its
+  # silence was counted from the start of the leadership.
+  Scenario: A learner that the leader can't reach at first is added once
+    Given a group of 5 voters discovered from 3 seeds
+    When 6 s later an empty host with a new address starts, which the leader reaches after 2 s only
+    Then after 2 s the host is a learner, and the membership has changed once
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -533,3 +533,29 @@
     assert learners == [simulation.hosts[5].last_identity], learners
     changes = simulation.checks.committed_end - context.end_before
     assert changes <= count, changes
+
+
+@when(
+    "{wait_s:g} s later an empty host with a new address starts,"
+    " which the leader reaches after {cut_s:g} s only"
+)
+def step_join_unreached(context, wait_s, cut_s):
+    simulation = context.simulation
+    simulation.run(wait_s)
+    context.end_before = simulation.checks.committed_end
+    host = simulation.hosts[5]
+    leader = simulation.find_lease_holder()
+    simulation.network.cut.add((leader.address, host.address))
+    host.start(simulation.now_s)
+    simulation.run(cut_s)
+    simulation.network.cut.clear()
+
+
+@then("after {wait_s:g} s the host is a learner, and the membership has changed once")
+def step_check_joined_once(context, wait_s):
+    simulation = context.simulation
+    simulation.run(wait_s)
+    learners = find_replicas(simulation, MemberStanding.LEARNER)
+    assert learners == {simulation.hosts[5].name}, learners
+    changes = simulation.checks.committed_end - context.end_before
+    assert changes == 1, changes
