--- a/src/samphirespring/process/replication/leadership.py
+++ b/src/samphirespring/process/replication/leadership.py
@@ -71,6 +71,8 @@
         self._timing = timing
         self._silent_since_s = dict(silent_since_s)
         self._started_at_s = now_s
+        self._tracked_since_s: dict[MemberId, float] = {}
+        """When each follower was tracked first: at the start of the term, or once it was added."""
         self._heartbeat_due_at_s = now_s
         self._first_index = LogIndex(log.last.index + 1)
         self.followers: dict[MemberId, FollowerProgress] = {}
@@ -121,10 +123,11 @@
         inherits = now_s - self._started_at_s > SILENCE_CHECK_S
         silences = {}
         for member, progress in self.followers.items():
-            heard_at_s = progress.contact_s
-            if heard_at_s is None:
-                inherited_s = self._silent_since_s.get(member, self._started_at_s)
-                heard_at_s = inherited_s if inherits else self._started_at_s
+            heard_at_s = self._tracked_since_s.setdefault(member, now_s)
+            if inherits:
+                heard_at_s = self._silent_since_s.get(member, heard_at_s)
+            if progress.contact_s is not None:
+                heard_at_s = progress.contact_s
             silences[member] = now_s - heard_at_s
         return silences
 
