--- a/src/samphirespring/process/replication/group_member.py
+++ b/src/samphirespring/process/replication/group_member.py
@@ -104,6 +104,7 @@
                 else ()
             ),
             may_form=identity.may_form and identity.lineage is None,
+            knows_first_start=discovery is not None,
         )
         self._sender_addresses: dict[MemberId, str] = {}
         self._announce_due_at_s = now_s
@@ -266,7 +267,11 @@
             return
         members = self.replica.log.membership.members
         reply = AnnouncementReply(
-            requester=announced.member, member=self.own, formed=formed, members=members
+            requester=announced.member,
+            member=self.own,
+            formed=formed,
+            members=members,
+            has_group=self._identity.lineage is not None,
         )
         self._post(self.find_address(announced), announced.member, reply)
         if formed:
--- a/src/samphirespring/process/replication/messages.py
+++ b/src/samphirespring/process/replication/messages.py
@@ -130,11 +130,14 @@
     requester: MemberId
     member: Member
     formed: bool
-    """Whether the replying replica belongs to a group, or did before."""
+    """Whether the replying replica belongs to a group, or may have belonged to one before."""
 
     members: tuple[Member, ...] = ()
     """The group's members in the log of the replying replica; all may be new to the requester."""
 
+    has_group: bool | None = None
+    """Whether the replying replica belongs to a group now; None from a build without the field."""
+
 
 class Departure(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="dp"):
     """Tells the group that a member is about to stop, and asks whether it may.
--- a/tests/features/control_discovery.feature
+++ b/tests/features/control_discovery.feature
@@ -25,6 +25,29 @@
     Then no group existed before seed 1 started
     And within 5 s one group has 5 voters
 
+  # Guards against a fleet that never starts: only one seed formed the group, and none of the others
+  # took its place once it had lost its disk.
+  Scenario Outline: A seed that loses its disk before the group has formed doesn't keep it from forming
+    Given 5 control hosts with 3 seeds
+    When they start, and after <at_s> s seed <seed> loses its disk for 1.5 s
+    Then within 5 s one group has 5 voters
+
+    Examples:
+      | seed | at_s |
+      | 0    | 0.0  |
+      | 0    | 0.05 |
+      | 1    | 0.05 |
+      | 2    | 0.05 |
+
+  Scenario: One seed loses its disk at any moment of the first start
+    When 300 fleets start, and in each a seed loses its disk within the first second
+    Then each has one group with 5 voters within 5 s
+
+  Scenario: Seeds that may all have belonged to a group form no second one
+    Given 5 control hosts with 3 seeds
+    When only the seeds start, and two of them lose their disks before the group has formed
+    Then after 10 s there is no group
+
   Scenario: Empty hosts form no group if the settings say that the fleet isn't new
     Given 5 control hosts with 3 seeds
     When they start with empty disks and settings of a fleet that isn't new
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -96,6 +96,48 @@
     assert context.early_voter_count == 0
 
 
+def restart_without_disk(simulation, host, *, down_s):
+    """Let a host lose its disk and come back as the platform starts it again."""
+    host.lose_disk()
+    simulation.run(down_s)
+    host.discovery = Discovery(seeds=host.discovery.seeds, may_form=False, voter_goal=VOTER_COUNT)
+    host.start(simulation.now_s)
+
+
+@when("they start, and after {at_s:g} s seed {number:d} loses its disk for {down_s:g} s")
+def step_lose_seed(context, at_s, number, down_s):
+    simulation = context.simulation
+    for host in simulation.hosts[:VOTER_COUNT]:
+        host.start(simulation.now_s)
+    simulation.run(at_s)
+    restart_without_disk(simulation, simulation.hosts[number], down_s=down_s)
+
+
+@when("{count:d} fleets start, and in each a seed loses its disk within the first second")
+def step_lose_seeds_at_random(context, count):
+    context.fleets = []
+    for seed in range(count):
+        random = Random(seed)
+        simulation = make_fleet(seed=seed)
+        order = random.sample(range(VOTER_COUNT), VOTER_COUNT)
+        start_all(simulation, order)
+        simulation.run(random.uniform(0.0, 0.7))
+        host = simulation.hosts[random.randrange(SEED_COUNT)]
+        restart_without_disk(simulation, host, down_s=random.uniform(0.1, 2.0))
+        context.fleets.append(simulation)
+
+
+@when("only the seeds start, and two of them lose their disks before the group has formed")
+def step_lose_two_seeds(context):
+    simulation = context.simulation
+    for host in simulation.hosts[:SEED_COUNT]:
+        host.start(simulation.now_s)
+    for number in (0, 1):
+        simulation.hosts[number].lose_disk()
+    for number in (0, 1):
+        restart_without_disk(simulation, simulation.hosts[number], down_s=0.2)
+
+
 @when("they start with empty disks and settings of a fleet that isn't new")
 def step_start_old(context):
     context.simulation = make_fleet(first_start=False)
