--- a/src/samphirespring/process/log_events.py
+++ b/src/samphirespring/process/log_events.py
@@ -23,6 +23,7 @@
     ENDPOINT_FAILED = "endpoint_failed"
     REQUEST_FAILED = "request_failed"
     REQUEST_ENDED = "request_ended"
+    ATTEMPT_ERROR = "attempt_error"
     REQUEST_LINES_OMITTED = "request_lines_omitted"
     CONTROL_CALL_FAILED = "control_call_failed"
 
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -8,8 +8,10 @@
 from samphirespring.process.admission_queue import Admission
 from samphirespring.process.detection.classification import ResponseInspector, classify_failure
 from samphirespring.process.detection.states import ObservedOutcome
+from samphirespring.process.event_log import EventLog
 from samphirespring.process.frame_batcher import FrameBatcher
 from samphirespring.process.ledger.states import AttemptFate
+from samphirespring.process.log_events import LogEvent
 from samphirespring.process.response_capture import ResponseCapture
 from samphirespring.process.stall_watch import AttemptWait
 from samphirespring.process.targets import TargetLoad
@@ -27,6 +29,8 @@
 )
 from samphirespring.request.states import FailureKind
 
+_log = EventLog()
+
 
 class AttemptExecution:
     """Runs one attempt at a backend server and derives what its result says about the target.
@@ -96,6 +100,10 @@
             self.complete = True
         except UpstreamError as error:
             self.fail(error.kind, started=error.started)
+        except Exception:
+            # All attempts of the process share a task group, which an error would end.
+            _log.exception(LogEvent.ATTEMPT_ERROR, attempt=self._request.attempt)
+            self.fail(FailureKind.CUT, started=True)
 
     def evaluate_response(self, *, response_sent: bool) -> None:
         """Evaluate the complete response before its last frame is sent.
--- a/tests/features/responses.feature
+++ b/tests/features/responses.feature
@@ -100,3 +100,10 @@
     Given a backend server that responds once it has read 64 KiB of a body
     When a body of 4 MiB is sent to it, and then stops
     Then the result is the complete body "hello", and the connection isn't used again
+
+  # Guards against nodes that end by themselves: all attempts of a node share one task group, and an
+  # error that nobody expects in one of them ended it.
+  Scenario: An attempt that fails by an unforeseen error fails alone
+    Given a target of which every tenth attempt fails by an unforeseen error
+    When reads are sent to it for 5 s
+    Then the other attempts are served, and all slots are free afterwards
--- a/tests/features/steps/responses_steps.py
+++ b/tests/features/steps/responses_steps.py
@@ -1,3 +1,4 @@
+import itertools
 from contextlib import suppress
 
 import anyio
@@ -10,8 +11,10 @@
     make_response,
     reset,
 )
+from front.stalling_pool import StallingPool
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.request.body import BodyAbortedError, BodySource
+from samphirespring.version.states import DetectionMode
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -378,3 +381,35 @@
 def step_check_upload_complete(context, body):
     assert context.result == (200, body.encode()), context.result
     assert context.backend.closed.is_set()
+
+
+@given("a target of which every tenth attempt fails by an unforeseen error")
+def step_failing_target(context):
+    numbers = itertools.count(1)
+
+    def draw_latency_s(_):
+        if next(numbers) % 10 == 0:
+            raise ArithmeticError("an error that no handler knows")
+        return 0.01
+
+    context.pool = StallingPool(
+        mode=DetectionMode.FAST, seed=1, count=1, rate_per_s=20.0, draw_latency_s=draw_latency_s
+    )
+
+
+@when("reads are sent to it for {duration_s:g} s")
+def step_send_reads(context, duration_s):
+    async def main():
+        await anyio.sleep(duration_s)
+        context.started = context.pool.hosts[0].upstream.started
+        context.pool.rate_per_s = 0.001
+        await anyio.sleep(1.0)
+        context.agent_dump = await context.pool.hosts[0].agent.dump()
+
+    context.pool.run(main)
+
+
+@then("the other attempts are served, and all slots are free afterwards")
+def step_check_served(context):
+    assert context.started > 50, context.started
+    assert context.agent_dump.running == 0, context.agent_dump
