--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent.py
@@ -1,6 +1,5 @@
 """The agent: admits attempts into the slots of its host's targets and reports their state."""
 
-from collections.abc import Callable
 from functools import partial
 
 import anyio
@@ -12,7 +11,6 @@
     AdmitAttempt,
     AgentDump,
     AgentMessage,
-    Announcement,
     AnnouncementReceipt,
     AnnounceTarget,
     DrainHost,
@@ -27,21 +25,19 @@
     UsePolicies,
     WithdrawTarget,
 )
-from samphirespring.process.announcement_order import AnnouncementOrder
-from samphirespring.process.bounds import UNKNOWN_START
+from samphirespring.process.announced_targets import AnnouncedTargets
 from samphirespring.process.condition_watch import ConditionWatch
 from samphirespring.process.departure_guard import DepartureGuard
 from samphirespring.process.departure_recorder import DepartureRecorder
 from samphirespring.process.departure_store import DepartureStore
 from samphirespring.process.detection.observations import Observation
 from samphirespring.process.detection.probe_schedule import ProbePlan
-from samphirespring.process.detection.target_evaluator import TargetEvaluator
 from samphirespring.process.detection.target_health import TRIAL_WEIGHT
+from samphirespring.process.errors import InternalError
 from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.local_policies import LocalPolicies
 from samphirespring.process.local_target import LocalTarget
-from samphirespring.process.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ReplyT, ask
 from samphirespring.process.metric_names import Counter, Gauge
 from samphirespring.process.metrics import Metrics
@@ -96,17 +92,17 @@
         self._timers = timers
         self._metrics = metrics
         self._condition_watch = ConditionWatch(metrics)
-        self._targets: dict[TargetId, LocalTarget] = {}
         self._policies = LocalPolicies()
         self._wait_tasks: TaskGroup
         self._draining = False
         self._operator_drain = OperatorDrain()
         self._record: HostRecord | None = None
         self._first_report_at_s = timers.read_now_s() + FIRST_REPORT_WAIT_S
-        self._announcement_order = AnnouncementOrder()
         self._departure_recorder = DepartureRecorder(departures, timers=timers)
-        self._departure_guard = DepartureGuard(
-            is_loaded=departures is None, now_s=timers.read_now_s()
+        self._targets = AnnouncedTargets(
+            policies=self._policies,
+            lease_s=lease_s,
+            guard=DepartureGuard(is_loaded=departures is None, now_s=timers.read_now_s()),
         )
 
     @property
@@ -145,7 +141,8 @@
             case WithdrawTarget():
                 self._withdraw(message)
             case UseDepartures():
-                self._use_departures(message)
+                now_s = self._timers.read_now_s()
+                self._targets.use_departures(message.departures, now_s=now_s)
             case ReadHostRecord():
                 message.reply.send(self._read_record())
             case DrainHost():
@@ -160,7 +157,7 @@
 
     def _admit(self, message: AdmitAttempt) -> None:
         request = message.request
-        target = self._targets.get(request.target)
+        target = self._targets.find(request.target)
         if target is None or target.announcement.service != request.service:
             message.reply.send(
                 AttemptRefused(attempt=request.attempt, code=RefusalCode.UNKNOWN_TARGET)
@@ -214,15 +211,11 @@
 
     def _use_policies(self, message: UsePolicies) -> None:
         self._policies.apply(message)
-        for target in self._targets.values():
+        for target in self._targets:
             target.slots = self._policies.find_slots(target.announcement)
-            self._update_fault_model(target)
+            self._targets.update_fault_model(target, now_s=self._timers.read_now_s())
             self._admit_waiting(target)
 
-    def _update_fault_model(self, target: LocalTarget) -> None:
-        model = self._policies.find_fault_model(target.announcement.service)
-        target.use_fault_model(model, now_s=self._timers.read_now_s())
-
     def _admit_waiting(self, target: LocalTarget) -> None:
         while target.running < target.slots:
             waiter = target.queue.pop_next(now_s=self._timers.read_now_s())
@@ -234,17 +227,19 @@
         return target.start(request.attempt, now_s=self._timers.read_now_s())
 
     def _refuse_waiting(self) -> None:
-        for target in self._targets.values():
+        for target in self._targets:
             if self._is_draining(target):
                 target.queue.refuse_all(RefusalCode.DRAINING)
 
     def _finish(self, message: FinishAttempt) -> TargetLoad:
-        target = self._targets[message.target]
+        target = self._targets.find(message.target)
+        if target is None:
+            raise InternalError(f"target {message.target} was dropped with an attempt in flight")
         target.running -= 1
         self._observe(target, message)
         self._admit_waiting(target)
         load = self._read_load(target)
-        self._drop_if_finished(target)
+        self._targets.drop_if_finished(target)
         return load
 
     def _observe(self, target: LocalTarget, message: FinishAttempt) -> None:
@@ -271,7 +266,7 @@
             )
 
     def _list_probe_plans(self) -> tuple[ProbePlan, ...]:
-        plans = (self._plan_probe(target) for target in self._targets.values())
+        plans = (self._plan_probe(target) for target in self._targets)
         return tuple(plan for plan in plans if plan is not None)
 
     def _plan_probe(self, target: LocalTarget) -> ProbePlan | None:
@@ -291,13 +286,13 @@
         )
 
     def _record_probe(self, message: RecordProbe) -> None:
-        target = self._targets.get(message.target)
+        target = self._targets.find(message.target)
         if target is not None:
             now_s = self._timers.read_now_s()
             target.evaluator.health.record_probe(succeeded=message.succeeded, now_s=now_s)
 
     def _record_stall(self, message: RecordStall) -> None:
-        target = self._targets.get(message.target)
+        target = self._targets.find(message.target)
         if target is None:
             return
         target.evaluator.use_terms(message.terms, now_s=self._timers.read_now_s())
@@ -309,132 +304,44 @@
         )
 
     def _announce(self, message: AnnounceTarget) -> None:
-        if self._announcement_order.accept(message.target, message.announcement):
-            self._accept_announcement(message.target, message.announcement)
-        else:
-            self._log_outdated(message.target, message.announcement)
-        target = self._targets.get(message.target)
-        is_leaving = target is None or target.announcement.phase is not TargetPhase.SERVING
-        if message.announcement.phase is TargetPhase.SERVING or not is_leaving:
-            message.reply.send(self._make_receipt(message.target))
-        else:
-            self._confirm_departure(
-                message.target, message.reply, lambda: self._make_receipt(message.target)
-            )
-
-    def _log_outdated(self, target: TargetId, announcement: Announcement) -> None:
-        _log.info(
-            LogEvent.ANNOUNCEMENT_OUTDATED,
-            target=target,
-            started_ms=announcement.started_ms,
-            sequence=announcement.sequence,
-        )
-
-    def _make_receipt(self, target: TargetId) -> AnnouncementReceipt:
-        return AnnouncementReceipt(
-            target=target, incarnation=self.incarnation, lease_s=self._lease_s
+        target_id, announcement = message.target, message.announcement
+        serves = announcement.phase is TargetPhase.SERVING
+        now_s = self._timers.read_now_s()
+        if self._targets.announce(target_id, announcement, now_s=now_s) and serves:
+            self._departure_recorder.forget(target_id)
+        receipt = AnnouncementReceipt(
+            target=target_id, incarnation=self.incarnation, lease_s=self._lease_s
         )
+        if serves or not self._targets.is_leaving(target_id):
+            message.reply.send(receipt)
+        else:
+            self._confirm_departure(target_id, message.reply, receipt)
 
-    def _accept_announcement(self, target: TargetId, announcement: Announcement) -> None:
-        if announcement.phase is TargetPhase.SERVING:
-            self._departure_recorder.forget(target)
-        now_s = self._timers.read_now_s()
-        is_known = target in self._targets
-        if is_known or self._departure_guard.admits(target, announcement, now_s=now_s):
-            self._apply_announcement(target, announcement)
+    def _withdraw(self, message: WithdrawTarget) -> None:
+        was_announced = self._targets.find(message.target) is not None
+        if self._targets.withdraw(message.target, started_ms=message.started_ms):
+            self._confirm_departure(message.target, message.reply, was_announced)
+        else:
+            message.reply.send(False)
 
     def _confirm_departure(
-        self, target: TargetId, reply: ReplySlot[ReplyT], make: Callable[[], ReplyT]
+        self, target_id: TargetId, reply: ReplySlot[ReplyT], value: ReplyT
     ) -> None:
         """Reply to who announced a departure once it is recorded."""
-        departure = self._announcement_order.make_departure(target)
+        departure = self._targets.make_departure(target_id)
         if departure is None or self._departure_recorder.covers(departure):
-            reply.send(make())
+            reply.send(value)
             return
         self._wait_tasks.start_soon(
-            partial(self._departure_recorder.confirm, departure, reply=reply, make=make)
+            partial(self._departure_recorder.confirm, departure, reply=reply, value=value)
         )
 
     async def _read_departures(self) -> None:
         departures = await self._departure_recorder.read()
         self.inbox.post(UseDepartures(departures=departures))
 
-    def _use_departures(self, message: UseDepartures) -> None:
-        """Withdraw targets whose departure is on record, and accept the others that wait."""
-        for departure in message.departures:
-            self._announcement_order.restore(departure)
-            target = self._targets.get(departure.target)
-            if target is not None and not self._announcement_order.is_latest(
-                departure.target, target.announcement
-            ):
-                self._withdraw_target(target)
-        for target_id, announcement in self._departure_guard.finish().items():
-            if self._announcement_order.is_latest(target_id, announcement):
-                self._apply_announcement(target_id, announcement)
-
-    def _apply_announcement(self, target_id: TargetId, announcement: Announcement) -> None:
-        slots = self._policies.find_slots(announcement)
-        now_s = self._timers.read_now_s()
-        lease_expires_at_s = now_s + self._lease_s
-        target = self._targets.get(target_id)
-        if target is None:
-            if self._has_later_start(announcement):
-                self._log_outdated(target_id, announcement)
-                return
-            self._withdraw_predecessors(announcement)
-            target = LocalTarget(
-                target=target_id,
-                announcement=announcement,
-                slots=slots,
-                lease_expires_at_s=lease_expires_at_s,
-                evaluator=TargetEvaluator(now_s=now_s),
-            )
-            target.begin_slow_start(announcement, now_s)
-            self._targets[target_id] = target
-            self._update_fault_model(target)
-        else:
-            target.renew(
-                announcement, slots=slots, lease_expires_at_s=lease_expires_at_s, now_s=now_s
-            )
-
-    def _has_later_start(self, announcement: Announcement) -> bool:
-        """Return whether a backend server that started later has announced itself at the address.
-
-        The announced one has ended then, and its announcement comes late.
-        """
-        return any(
-            target.announcement.address == announcement.address
-            and target.announcement.started_ms > announcement.started_ms != UNKNOWN_START
-            for target in self._targets.values()
-        )
-
-    def _withdraw_predecessors(self, announcement: Announcement) -> None:
-        """Withdraw targets at the same address that an earlier start of the server announced."""
-        for target in tuple(self._targets.values()):
-            previous = target.announcement
-            if (
-                previous.address == announcement.address
-                and previous.started_ms < announcement.started_ms
-            ):
-                self._withdraw_target(target)
-
-    def _withdraw(self, message: WithdrawTarget) -> None:
-        target_id = message.target
-        if not self._announcement_order.withdraw(target_id, started_ms=message.started_ms):
-            message.reply.send(False)
-            return
-        self._departure_guard.drop(target_id)
-        target = self._targets.get(target_id)
-        if target is not None:
-            self._withdraw_target(target)
-        self._confirm_departure(target_id, message.reply, lambda: target is not None)
-
-    def _withdraw_target(self, target: LocalTarget) -> None:
-        target.withdraw()
-        self._drop_if_finished(target)
-
     def _measure_load(self) -> None:
-        targets = self._targets.values()
+        targets = tuple(self._targets)
         waiting = sum(len(target.queue) for target in targets)
         self._metrics.set_gauge(Gauge.AGENT_QUEUE_WAITING, value=waiting)
         slots = sum(target.slots for target in targets)
@@ -445,7 +352,7 @@
     async def _expire_targets(self) -> None:
         async for tick in self._timers.subscribe(interval_s=EXPIRY_INTERVAL_S):
             self._measure_load()
-            for target in tuple(self._targets.values()):
+            for target in self._targets:
                 self._condition_watch.advance(
                     target.evaluator.health,
                     target=target.target,
@@ -453,11 +360,7 @@
                     now_s=tick.now_s,
                 )
                 if target.lease_expires_at_s <= tick.now_s:
-                    self._withdraw_target(target)
-
-    def _drop_if_finished(self, target: LocalTarget) -> None:
-        if target.withdrawn and target.running == 0:
-            del self._targets[target.target]
+                    self._targets.retire(target)
 
     def _read_load(self, target: LocalTarget) -> TargetLoad:
         load = target.read_load(self._timers.read_now_s())
@@ -469,7 +372,7 @@
         return self._draining or self._operator_drain.covers(target.target)
 
     def _set_drain(self, message: SetDrain) -> bool:
-        if message.target is not None and message.target not in self._targets:
+        if message.target is not None and self._targets.find(message.target) is None:
             return False
         self._operator_drain.set(message.target, draining=message.draining)
         self._refuse_waiting()
@@ -501,7 +404,7 @@
                     service=target.announcement.service,
                     load=_make_registry_load(self._read_load(target)),
                 )
-                for target in self._targets.values()
+                for target in self._targets
             ),
         )
         if record != previous:
@@ -518,9 +421,9 @@
             drained_by_operator=self._operator_drain.read_targets(),
             targets=tuple(
                 msgspec.structs.replace(target.make_dump(now_s), load=self._read_load(target))
-                for target in self._targets.values()
+                for target in self._targets
             ),
-            running=sum(target.running for target in self._targets.values()),
+            running=sum(target.running for target in self._targets),
             waiting_messages=self.inbox.waiting_count,
         )
 
--- a/src/samphirespring/process/departure_recorder.py
+++ b/src/samphirespring/process/departure_recorder.py
@@ -1,7 +1,5 @@
 """Records departures of this host's targets, and confirms them to who announced them."""
 
-from collections.abc import Callable
-
 from samphirespring.process.departure_store import DepartureStore, DepartureUnrecordedError
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.event_log import EventLog
@@ -80,14 +78,14 @@
         self._recorded.pop(target, None)
 
     async def confirm(
-        self, departure: TargetDeparture, *, reply: ReplySlot[ReplyT], make: Callable[[], ReplyT]
+        self, departure: TargetDeparture, *, reply: ReplySlot[ReplyT], value: ReplyT
     ) -> None:
         """Record a departure and then reply, or fail the reply if it can't be recorded.
 
         Args:
             departure: The departure.
             reply: Reply to the announcement.
-            make: Makes its content.
+            value: Its content.
         """
         is_recorded = await self._record(departure)
         _log.info(
@@ -98,7 +96,7 @@
             recorded=is_recorded,
         )
         if is_recorded:
-            reply.send(make())
+            reply.send(value)
         else:
             reply.fail(DepartureUnrecordedError("no control host recorded the departure in time"))
 
