--- a/src/samphirespring/connection/caller_http.py
+++ b/src/samphirespring/connection/caller_http.py
@@ -18,9 +18,9 @@
 )
 from samphirespring.connection.http_protocol import read_notice
 from samphirespring.process.errors import InternalError, SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import Front
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.settings import CallerLimits
 from samphirespring.request.caller import ResponseMetadata, ResponseWriter
 from samphirespring.request.earlier_requests import account_for_earlier_requests
--- a/src/samphirespring/connection/codec.py
+++ b/src/samphirespring/connection/codec.py
@@ -6,8 +6,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics, NullMetrics
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics, NullMetrics
 from samphirespring.request.messages import AttemptRequest, FrameBatch
 
 ATTEMPT_TYPES = frozenset({AttemptRequest, FrameBatch})
--- a/src/samphirespring/connection/http_json.py
+++ b/src/samphirespring/connection/http_json.py
@@ -13,8 +13,8 @@
     make_problem,
 )
 from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, InternalError, SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 
 BodyT = TypeVar("BodyT")
 
--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -29,7 +29,7 @@
     UploadMethod,
 )
 from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metrics import Metrics
 
 OPEN_TIMEOUT_S = 0.5
 """Longest wait for a connection and a new stream on it, in seconds."""
--- a/src/samphirespring/connection/link_pool.py
+++ b/src/samphirespring/connection/link_pool.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 
 from samphirespring.connection.link_client import Link
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metrics import Metrics
 
 
 class LinkPool:
--- a/src/samphirespring/connection/link_server.py
+++ b/src/samphirespring/connection/link_server.py
@@ -23,9 +23,9 @@
 )
 from samphirespring.connection.listener import open_listener
 from samphirespring.process.errors import DECODE_ERRORS, ErrorCode, SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metrics import Metrics
 
 _log = EventLog()
 
--- a/src/samphirespring/connection/listener.py
+++ b/src/samphirespring/connection/listener.py
@@ -4,8 +4,8 @@
 
 from samphirespring.process.addresses import parse_address
 from samphirespring.process.errors import ErrorCode, SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 
 BACKLOG = 2_048
 """Largest number of connections that wait to be accepted."""
--- a/src/samphirespring/connection/local_http.py
+++ b/src/samphirespring/connection/local_http.py
@@ -16,7 +16,7 @@
     read_body,
     respond_json,
 )
-from samphirespring.process.agent_messages import (
+from samphirespring.process.agent.agent_messages import (
     AgentDump,
     AgentMessage,
     Announcement,
--- a/src/samphirespring/connection/metrics_http.py
+++ b/src/samphirespring/connection/metrics_http.py
@@ -9,7 +9,7 @@
 from starlette.routing import Route
 
 from samphirespring.connection.http_server import serve_http
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metrics import Metrics
 
 PATH = "/metrics"
 
--- a/src/samphirespring/connection/operator_http.py
+++ b/src/samphirespring/connection/operator_http.py
@@ -32,9 +32,9 @@
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.dump import collect_dump, read_dump_page
 from samphirespring.process.errors import ErrorCode, InternalError, SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, HostId, ReplicaId, TargetId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.node_operations_client import NodeOperationsClient
 from samphirespring.process.replication.group_status import GroupOperations
 from samphirespring.process.tasks import OwnerTask
--- a/src/samphirespring/platform/announcements.py
+++ b/src/samphirespring/platform/announcements.py
@@ -16,7 +16,7 @@
 )
 from samphirespring.connection.local_http import AnnouncementInvalidError, read_target_id
 from samphirespring.platform.units import parse_seconds
-from samphirespring.process.agent_messages import (
+from samphirespring.process.agent.agent_messages import (
     AgentMessage,
     Announcement,
     AnnouncementReceipt,
--- a/src/samphirespring/platform/node.py
+++ b/src/samphirespring/platform/node.py
@@ -7,7 +7,7 @@
     watch_settings_file,
 )
 from samphirespring.process.composition.node import Node
-from samphirespring.process.logs import configure_logs
+from samphirespring.process.logs.logs import configure_logs
 from samphirespring.process.runtime import load_settings_or_exit, run_program
 
 
--- a/src/samphirespring/platform/operator_http.py
+++ b/src/samphirespring/platform/operator_http.py
@@ -19,8 +19,8 @@
 from samphirespring.process.document.errors import RevisionConflictError
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.errors import InternalError, SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.replication.state_machine import NotLeaderError
 from samphirespring.version.ids import Revision
 from samphirespring.version.parser import DocumentInvalidError
--- a/src/samphirespring/process/action_runner.py
+++ b/src/samphirespring/process/action_runner.py
@@ -7,13 +7,13 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ledger.action_ledger import ActionLedger, LedgerOutage
 from samphirespring.process.ledger.commands import EndAttempt
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 from samphirespring.request.action_exchange import ActionExchange, ActionResult
--- /dev/null
+++ b/src/samphirespring/process/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent of one host: its targets, their slots and their announcements."""
--- a/src/samphirespring/process/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -6,8 +6,8 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from samphirespring.process.admission_queue import MAX_WAIT_S, Admission, Waiter
-from samphirespring.process.agent_messages import (
+from samphirespring.process.agent.admission_queue import MAX_WAIT_S, Admission, Waiter
+from samphirespring.process.agent.agent_messages import (
     AdmitAttempt,
     AgentDump,
     AgentMessage,
@@ -25,23 +25,23 @@
     UsePolicies,
     WithdrawTarget,
 )
-from samphirespring.process.announced_targets import AnnouncedTargets
-from samphirespring.process.condition_watch import ConditionWatch
-from samphirespring.process.departure_guard import DepartureGuard
-from samphirespring.process.departure_recorder import DepartureRecorder
-from samphirespring.process.departure_store import DepartureStore
+from samphirespring.process.agent.announced_targets import AnnouncedTargets
+from samphirespring.process.agent.condition_watch import ConditionWatch
+from samphirespring.process.agent.departure_guard import DepartureGuard
+from samphirespring.process.agent.departure_recorder import DepartureRecorder
+from samphirespring.process.agent.departure_store import DepartureStore
+from samphirespring.process.agent.local_policies import LocalPolicies
+from samphirespring.process.agent.local_target import LocalTarget
+from samphirespring.process.agent.operator_drain import OperatorDrain
 from samphirespring.process.detection.observations import Observation
 from samphirespring.process.detection.probe_schedule import ProbePlan
 from samphirespring.process.detection.target_health import TRIAL_WEIGHT
 from samphirespring.process.errors import InternalError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import Incarnation, TargetId
-from samphirespring.process.local_policies import LocalPolicies
-from samphirespring.process.local_target import LocalTarget
+from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ReplyT, ask
-from samphirespring.process.metric_names import Counter, Gauge
-from samphirespring.process.metrics import Metrics
-from samphirespring.process.operator_drain import OperatorDrain
+from samphirespring.process.metrics.metric_names import Counter, Gauge
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.targets import HostRecord, Locality, TargetLoad, TargetRecord
 from samphirespring.process.tasks import OwnerTask
--- a/src/samphirespring/process/agent_messages.py
+++ b/src/samphirespring/process/agent/agent_messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from samphirespring.process.admission_queue import Admission
+from samphirespring.process.agent.admission_queue import Admission
 from samphirespring.process.bounds import (
     BOUNDED_NAME,
     UNKNOWN_START,
--- a/src/samphirespring/process/announced_targets.py
+++ b/src/samphirespring/process/agent/announced_targets.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Iterator
 
-from samphirespring.process.agent_messages import Announcement
-from samphirespring.process.announcement_order import AnnouncementOrder
+from samphirespring.process.agent.agent_messages import Announcement
+from samphirespring.process.agent.announcement_order import AnnouncementOrder
+from samphirespring.process.agent.departure_guard import DepartureGuard
+from samphirespring.process.agent.local_policies import LocalPolicies
+from samphirespring.process.agent.local_target import LocalTarget
 from samphirespring.process.bounds import UNKNOWN_START
-from samphirespring.process.departure_guard import DepartureGuard
 from samphirespring.process.detection.target_evaluator import TargetEvaluator
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import TargetId
-from samphirespring.process.local_policies import LocalPolicies
-from samphirespring.process.local_target import LocalTarget
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.states import TargetPhase
 from samphirespring.process.targets import TargetDeparture
 
--- a/src/samphirespring/process/announcement_order.py
+++ b/src/samphirespring/process/agent/announcement_order.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from samphirespring.process.agent_messages import Announcement
+from samphirespring.process.agent.agent_messages import Announcement
 from samphirespring.process.ids import TargetId
 from samphirespring.process.targets import TargetDeparture
 
--- a/src/samphirespring/process/condition_watch.py
+++ b/src/samphirespring/process/agent/condition_watch.py
@@ -2,11 +2,11 @@
 
 from samphirespring.process.detection.observations import Observation, Stall
 from samphirespring.process.detection.target_health import TargetHealth
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import TargetId
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metric_names import Counter, Timing
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metric_names import Counter, Timing
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.states import TargetCondition
 from samphirespring.version.ids import ServiceName
 
--- a/src/samphirespring/process/departure_guard.py
+++ b/src/samphirespring/process/agent/departure_guard.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from samphirespring.process.agent_messages import Announcement
+from samphirespring.process.agent.agent_messages import Announcement
 from samphirespring.process.ids import TargetId
 
 LOAD_TIMEOUT_S = 2.0
--- a/src/samphirespring/process/departure_recorder.py
+++ b/src/samphirespring/process/agent/departure_recorder.py
@@ -1,10 +1,10 @@
 """Records departures of this host's targets, and confirms them to who announced them."""
 
-from samphirespring.process.departure_store import DepartureStore, DepartureUnrecordedError
+from samphirespring.process.agent.departure_store import DepartureStore, DepartureUnrecordedError
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import TargetId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ReplySlot, ReplyT
 from samphirespring.process.targets import TargetDeparture
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/process/local_policies.py
+++ b/src/samphirespring/process/agent/local_policies.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from samphirespring.process.agent_messages import Announcement, UsePolicies
+from samphirespring.process.agent.agent_messages import Announcement, UsePolicies
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.models import make_fault_model
 from samphirespring.version.document import DetectionPolicy, ServicePolicy
--- a/src/samphirespring/process/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from samphirespring.process.admission_queue import Admission, AdmissionQueue
-from samphirespring.process.agent_messages import Announcement, LocalTargetDump
+from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue
+from samphirespring.process.agent.agent_messages import Announcement, LocalTargetDump
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.target_evaluator import TargetEvaluator
 from samphirespring.process.ids import TargetId
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -11,8 +11,8 @@
 from samphirespring.connection.upstream import UpstreamClient
 from samphirespring.connection.upstream_pool import UpstreamPool
 from samphirespring.process.action_guard import GuardMessage, StartAction
-from samphirespring.process.admission_queue import Admission
-from samphirespring.process.agent_messages import (
+from samphirespring.process.agent.admission_queue import Admission
+from samphirespring.process.agent.agent_messages import (
     AdmitAttempt,
     AgentMessage,
     FinishAttempt,
--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -30,11 +30,11 @@
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.document.state_machine import DocumentStateMachine
 from samphirespring.process.document.store import DocumentStore
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, ReplicaId
 from samphirespring.process.ledger.service import LedgerService
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metrics_setup import make_metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metrics_setup import make_metrics
 from samphirespring.process.node_operations_client import NodeOperationsClient
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry_service import RegistryService
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -36,8 +36,8 @@
 from samphirespring.connection.registry_link import REPORT_HOSTS
 from samphirespring.process.action_guard import ActionGuard
 from samphirespring.process.action_runner import ActionRunner
-from samphirespring.process.agent import Agent
-from samphirespring.process.agent_messages import DrainHost
+from samphirespring.process.agent.agent import Agent
+from samphirespring.process.agent.agent_messages import DrainHost
 from samphirespring.process.attempt_channels import AttemptChannels
 from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.composition.node_adapter import NodeAdapter, NodeComponents
@@ -51,12 +51,12 @@
 from samphirespring.process.document.saver import DocumentSaver
 from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.document.store import DocumentStore
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import Front
 from samphirespring.process.ledger.client import LedgerClient
 from samphirespring.process.local_targets import LocalTargetSource
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metrics_setup import make_metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metrics_setup import make_metrics
 from samphirespring.process.node_operations import NodeOperations
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
--- a/src/samphirespring/process/composition/node_adapter.py
+++ b/src/samphirespring/process/composition/node_adapter.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from samphirespring.connection.backend_dialect import BackendDialect
-from samphirespring.process.agent_messages import AgentMessage
+from samphirespring.process.agent.agent_messages import AgentMessage
 from samphirespring.process.front import Front
 from samphirespring.process.mailbox import Mailbox
 from samphirespring.process.node_readiness import NodeReadiness
--- a/src/samphirespring/process/control_client.py
+++ b/src/samphirespring/process/control_client.py
@@ -7,8 +7,8 @@
 from samphirespring.connection.link_methods import ReplyT, RequestT, UnaryMethod
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 
 CALL_TIMEOUT_S = 2.0
 MAX_LEADER_REDIRECTS = 3
--- a/src/samphirespring/process/control_groups.py
+++ b/src/samphirespring/process/control_groups.py
@@ -21,10 +21,10 @@
 
 from samphirespring.connection.link_server import LinkHandler
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, ReplicaId
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.context import GroupLimits, ReplicationContext
 from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.disk import Disk, FolderDisk
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -12,7 +12,7 @@
     WatchDocument,
 )
 from samphirespring.connection.link_pool import LinkPool
-from samphirespring.process.agent_messages import AgentMessage, UsePolicies
+from samphirespring.process.agent.agent_messages import AgentMessage, UsePolicies
 from samphirespring.process.control_client import ControlClient
 from samphirespring.process.document.compiler import DocumentCompiler
 from samphirespring.process.document.relay_tree import Peer
@@ -28,14 +28,14 @@
 from samphirespring.process.document.store import DocumentStore, RecordSourceContact
 from samphirespring.process.document.version_hint import VersionHint
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.front import FrontMessage, UseDocument
 from samphirespring.process.ids import FailureDomainName
 from samphirespring.process.latest import HighestValue
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ask
-from samphirespring.process.metric_names import Counter, Gauge
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter, Gauge
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.target_table import ReadPeers, TableMessage
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/process/document/initializer.py
+++ b/src/samphirespring/process/document/initializer.py
@@ -5,8 +5,8 @@
 from samphirespring.process.document.commands import ChangeInvalid
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 from samphirespring.version.ids import Generation, SectionName
--- a/src/samphirespring/process/document/leader_contact.py
+++ b/src/samphirespring/process/document/leader_contact.py
@@ -2,8 +2,8 @@
 
 from samphirespring.process.document.store import DocumentStore, RecordSourceContact
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.replication.group_status import GroupOperations
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/process/document/notice_watch.py
+++ b/src/samphirespring/process/document/notice_watch.py
@@ -8,10 +8,10 @@
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.process.document.version_hint import VersionHint
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId
 from samphirespring.process.latest import HighestValue
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.rendezvous import hash_pair
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/process/document/reporter.py
+++ b/src/samphirespring/process/document/reporter.py
@@ -7,8 +7,8 @@
 from samphirespring.process.document.sources import SourceKind
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.targets import Locality
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/process/document/saver.py
+++ b/src/samphirespring/process/document/saver.py
@@ -3,11 +3,11 @@
 import anyio.to_thread
 
 from samphirespring.process.document.file import DocumentFile, DocumentFileInvalidError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.latest import LatestValue
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 from samphirespring.version.section_set import SectionSet
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from samphirespring.process.action_runner import ActionRunner
+from samphirespring.process.logs.request_log import RequestLog
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
-from samphirespring.process.metric_names import Counter, Timing
-from samphirespring.process.request_log import RequestLog
+from samphirespring.process.metrics.metric_names import Counter, Timing
 from samphirespring.process.target_table import UseServicePolicies, UseSubsetSize
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.traffic_limiter import AdmitRequest
--- a/src/samphirespring/process/ledger/client.py
+++ b/src/samphirespring/process/ledger/client.py
@@ -16,12 +16,12 @@
 from samphirespring.connection.link_methods import RequestT, UnaryMethod
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ledger.action_ledger import ActionLedger, LedgerOutage
 from samphirespring.process.ledger.claims import ClaimKey
 from samphirespring.process.ledger.commands import LedgerCommand, LedgerResult
 from samphirespring.process.ledger.leader_search import LeaderCache, LeaderSearch
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.version.ids import WorkspaceId
 
 CALL_TIMEOUT_S = 1.0
--- a/src/samphirespring/process/ledger/group_server.py
+++ b/src/samphirespring/process/ledger/group_server.py
@@ -16,7 +16,6 @@
     ReadClaimState,
 )
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, ReplicaId
 from samphirespring.process.ledger.claim_state_machine import ClaimStateMachine
 from samphirespring.process.ledger.claims import Claim, ClaimKey
@@ -26,10 +25,11 @@
 from samphirespring.process.ledger.ids import LedgerTime
 from samphirespring.process.ledger.resolution import decide_resolution, is_resolution_due
 from samphirespring.process.ledger.states import ClaimState
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
-from samphirespring.process.metric_names import Counter, Gauge
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter, Gauge
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.state_machine import (
     CommitUnknownError,
     NotLeaderError,
--- a/src/samphirespring/process/ledger/service.py
+++ b/src/samphirespring/process/ledger/service.py
@@ -17,15 +17,15 @@
 from samphirespring.connection.link_server import LinkHandler, UnaryHandler
 from samphirespring.process.control_groups import ControlGroups
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import FailureDomainName, GroupId, RegionName, ReplicaId
 from samphirespring.process.ledger.claim_state_machine import ClaimStateMachine
 from samphirespring.process.ledger.fencer import AttemptFencer
 from samphirespring.process.ledger.group_server import LedgerGroupServer, LedgerGroupServerDump
 from samphirespring.process.ledger.placement import ControlHostLocation, place_groups
 from samphirespring.process.ledger.shards import find_group_index
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.settings import ReplicaPeer
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- /dev/null
+++ b/src/samphirespring/process/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured log lines of a process."""
--- a/src/samphirespring/process/event_log.py
+++ b/src/samphirespring/process/logs/event_log.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.log_events import LogEvent
 
 
 class EventLog:
--- a/src/samphirespring/process/logs.py
+++ b/src/samphirespring/process/logs/logs.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from samphirespring.process.log_sink import LogSink
+from samphirespring.process.logs.log_sink import LogSink
 
 
 def configure_logs(level: str) -> None:
--- a/src/samphirespring/process/request_log.py
+++ b/src/samphirespring/process/logs/request_log.py
@@ -1,7 +1,7 @@
 """Request log: one line per request, limited to a number of lines per second."""
 
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.timers import TimerService
 
 LINES_PER_S = 100
--- a/src/samphirespring/process/metric_exporter.py
+++ b/src/samphirespring/process/metrics/metric_exporter.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from samphirespring.process.metric_messages import MetricMessage
+from samphirespring.process.metrics.metric_messages import MetricMessage
 
 
 class MetricExporter(ABC):
--- a/src/samphirespring/process/metric_messages.py
+++ b/src/samphirespring/process/metrics/metric_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from samphirespring.process.metric_names import Counter, Gauge, Timing
+from samphirespring.process.metrics.metric_names import Counter, Gauge, Timing
 
 
 class AddToCounter(msgspec.Struct, frozen=True):
--- a/src/samphirespring/process/metric_summary.py
+++ b/src/samphirespring/process/metrics/metric_summary.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from samphirespring.process.metric_messages import (
+from samphirespring.process.metrics.metric_messages import (
     AddToCounter,
     MetricMessage,
     RecordDuration,
     SetGauge,
 )
-from samphirespring.process.metric_names import make_metric_name
+from samphirespring.process.metrics.metric_names import make_metric_name
 
 MAX_DURATIONS = 20
 """Largest number of durations sent for one metric and interval; a random sample of more."""
--- a/src/samphirespring/process/metric_values.py
+++ b/src/samphirespring/process/metrics/metric_values.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from samphirespring.process.metric_names import (
+from samphirespring.process.metrics.metric_names import (
     LABEL_PLACEHOLDER,
     Counter,
     Gauge,
--- a/src/samphirespring/process/metrics.py
+++ b/src/samphirespring/process/metrics/metrics.py
@@ -7,14 +7,14 @@
 import msgspec
 
 from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask
-from samphirespring.process.metric_exporter import MetricExporter, MetricsText, TextRenderer
-from samphirespring.process.metric_messages import (
+from samphirespring.process.metrics.metric_exporter import MetricExporter, MetricsText, TextRenderer
+from samphirespring.process.metrics.metric_messages import (
     AddToCounter,
     MetricMessage,
     RecordDuration,
     SetGauge,
 )
-from samphirespring.process.metric_names import Counter, Gauge, Timing
+from samphirespring.process.metrics.metric_names import Counter, Gauge, Timing
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 
--- a/src/samphirespring/process/metrics_setup.py
+++ b/src/samphirespring/process/metrics/metrics_setup.py
@@ -2,10 +2,10 @@
 
 import random
 
-from samphirespring.process.metric_exporter import MetricExporter
-from samphirespring.process.metrics import ExportedMetrics, Metrics, NullMetrics
+from samphirespring.process.metrics.metric_exporter import MetricExporter
+from samphirespring.process.metrics.metrics import ExportedMetrics, Metrics, NullMetrics
+from samphirespring.process.metrics.text_exporter import TextExporter
 from samphirespring.process.settings import StatsdSettings
-from samphirespring.process.text_exporter import TextExporter
 from samphirespring.process.timers import TimerService
 
 
@@ -28,7 +28,7 @@
     exporters: list[MetricExporter] = [] if text is None else [text]
     if statsd is not None:
         # Imported here, because its library isn't installed where no statsd server is used.
-        from samphirespring.process.statsd_exporter import StatsdExporter
+        from samphirespring.process.metrics.statsd_exporter import StatsdExporter
 
         exporters.append(StatsdExporter(statsd, generator=generator))
     if not exporters:
--- a/src/samphirespring/process/prometheus_text.py
+++ b/src/samphirespring/process/metrics/prometheus_text.py
@@ -11,9 +11,9 @@
 )
 from prometheus_client.registry import Collector
 
-from samphirespring.process.metric_exporter import MetricsText
-from samphirespring.process.metric_names import LABEL_PLACEHOLDER, MetricName, Timing
-from samphirespring.process.metric_values import LabelValues, MetricValues, list_label_names
+from samphirespring.process.metrics.metric_exporter import MetricsText
+from samphirespring.process.metrics.metric_names import LABEL_PLACEHOLDER, MetricName, Timing
+from samphirespring.process.metrics.metric_values import LabelValues, MetricValues, list_label_names
 
 PREFIX = "samphire_"
 
--- a/src/samphirespring/process/statsd_exporter.py
+++ b/src/samphirespring/process/metrics/statsd_exporter.py
@@ -6,9 +6,9 @@
 from statsd import StatsClient
 
 from samphirespring.process.addresses import parse_address
-from samphirespring.process.metric_exporter import MetricExporter
-from samphirespring.process.metric_messages import MetricMessage
-from samphirespring.process.metric_summary import MetricSummary
+from samphirespring.process.metrics.metric_exporter import MetricExporter
+from samphirespring.process.metrics.metric_messages import MetricMessage
+from samphirespring.process.metrics.metric_summary import MetricSummary
 from samphirespring.process.settings import StatsdSettings
 
 
--- a/src/samphirespring/process/text_exporter.py
+++ b/src/samphirespring/process/metrics/text_exporter.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Sequence
 
-from samphirespring.process.metric_exporter import MetricsText, TextRenderer
-from samphirespring.process.metric_messages import (
+from samphirespring.process.metrics.metric_exporter import MetricsText, TextRenderer
+from samphirespring.process.metrics.metric_messages import (
     AddToCounter,
     MetricMessage,
     RecordDuration,
     SetGauge,
 )
-from samphirespring.process.metric_values import MetricValues
+from samphirespring.process.metrics.metric_values import MetricValues
 
 
 class TextExporter(TextRenderer):
@@ -36,6 +36,6 @@
         """Return all metrics in the Prometheus text format."""
         # Imported here, because the library adds much to the start of a process that may never
         # be asked for its metrics.
-        from samphirespring.process.prometheus_text import render_metrics
+        from samphirespring.process.metrics.prometheus_text import render_metrics
 
         return render_metrics(self._values)
--- a/src/samphirespring/process/node_operations.py
+++ b/src/samphirespring/process/node_operations.py
@@ -10,10 +10,10 @@
     DumpReply,
     DumpRequest,
 )
-from samphirespring.process.agent_messages import AgentMessage, SetDrain
+from samphirespring.process.agent.agent_messages import AgentMessage, SetDrain
 from samphirespring.process.dump import collect_dump, read_dump_page
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ask
 from samphirespring.process.tasks import OwnerTask
 
--- a/src/samphirespring/process/operation/explanation.py
+++ b/src/samphirespring/process/operation/explanation.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from samphirespring.process.errors import ErrorCode, SamphireError
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.operation.log_files import LogLine, read_log_lines
 
 CONTEXT_WINDOW = timedelta(seconds=10)
--- a/src/samphirespring/process/path_prober.py
+++ b/src/samphirespring/process/path_prober.py
@@ -6,12 +6,12 @@
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.path_link import PING, Ping
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.paging import (
     DumpList,
     DumpPage,
--- a/src/samphirespring/process/programs/control.py
+++ b/src/samphirespring/process/programs/control.py
@@ -8,7 +8,7 @@
 from samphirespring.process.composition.control import ControlHost
 from samphirespring.process.document.service import minify
 from samphirespring.process.document.state_machine import FIRST_VERSION
-from samphirespring.process.logs import configure_logs
+from samphirespring.process.logs.logs import configure_logs
 from samphirespring.process.runtime import load_settings_or_exit, run_program
 from samphirespring.process.settings import (
     ControlSettings,
--- a/src/samphirespring/process/programs/node.py
+++ b/src/samphirespring/process/programs/node.py
@@ -6,7 +6,7 @@
 import typer
 
 from samphirespring.process.composition.node import Node
-from samphirespring.process.logs import configure_logs
+from samphirespring.process.logs.logs import configure_logs
 from samphirespring.process.runtime import load_settings_or_exit, run_program
 from samphirespring.process.settings import (
     NodeSettings,
--- a/src/samphirespring/process/registry/departure_client.py
+++ b/src/samphirespring/process/registry/departure_client.py
@@ -6,8 +6,8 @@
     ReadDepartures,
     RecordDeparture,
 )
+from samphirespring.process.agent.departure_store import DepartureStore
 from samphirespring.process.control_client import ControlClient
-from samphirespring.process.departure_store import DepartureStore
 from samphirespring.process.ids import HostId
 from samphirespring.process.targets import TargetDeparture
 
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -4,14 +4,14 @@
 import msgspec
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
-from samphirespring.process.agent_messages import AgentMessage, ReadHostRecord
+from samphirespring.process.agent.agent_messages import AgentMessage, ReadHostRecord
 from samphirespring.process.control_directory import ControlDirectory
 from samphirespring.process.document.version_hint import VersionHint
 from samphirespring.process.errors import ErrorCode, SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
 from samphirespring.process.latest import HighestValue
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.registry.cache import RegistryCache
 from samphirespring.process.registry.pending_reports import PendingReports
--- a/src/samphirespring/process/registry_service.py
+++ b/src/samphirespring/process/registry_service.py
@@ -16,12 +16,12 @@
 from samphirespring.process.bounds import MAX_NAME_LENGTH
 from samphirespring.process.control_directory import compute_digest
 from samphirespring.process.errors import ErrorCode, SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import HostId, RegistryVersion, ReplicaId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
-from samphirespring.process.metric_names import Counter, Gauge
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter, Gauge
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.paging import (
     DumpList,
     DumpPage,
--- a/src/samphirespring/process/replication/context.py
+++ b/src/samphirespring/process/replication/context.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from samphirespring.process.ids import ReplicaId
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.disk import Disk
 from samphirespring.process.replication.timing import ReplicaTiming
--- a/src/samphirespring/process/replication/group.py
+++ b/src/samphirespring/process/replication/group.py
@@ -7,11 +7,11 @@
 import anyio.lowlevel
 import anyio.to_thread
 
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, LogIndex, ReplicaId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metric_names import Counter
+from samphirespring.process.metrics.metric_names import Counter
 from samphirespring.process.replication.context import ReplicationContext
 from samphirespring.process.replication.entries import Membership
 from samphirespring.process.replication.errors import DiskFailedError
--- a/src/samphirespring/process/replication/group_member.py
+++ b/src/samphirespring/process/replication/group_member.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from samphirespring.connection.replication_link import ReplicationEnvelope
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, GroupLineage, MemberId, ReplicaId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.effects import (
     Effect,
--- a/src/samphirespring/process/replication/non_member_responder.py
+++ b/src/samphirespring/process/replication/non_member_responder.py
@@ -1,9 +1,9 @@
 """Replies to announcements of a group of which this host never held a replica."""
 
 from samphirespring.connection.replication_link import ReplicationEnvelope
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, MemberId, ReplicaId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.replication.context import ReplicationContext
 from samphirespring.process.replication.entries import Member
 from samphirespring.process.replication.group_inbox import GroupInbox
--- a/src/samphirespring/process/replication/peer_sender.py
+++ b/src/samphirespring/process/replication/peer_sender.py
@@ -10,11 +10,11 @@
     ReplicationEnvelope,
 )
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import InboxFullError, Mailbox
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.messages import Heartbeat, HeartbeatReply
 from samphirespring.process.timers import TimerService
 
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId, ReplicaId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot
 from samphirespring.process.replication.applier import Applier
 from samphirespring.process.replication.context import ReplicationContext
--- a/src/samphirespring/process/replication/state_machine_adapter.py
+++ b/src/samphirespring/process/replication/state_machine_adapter.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from samphirespring.process.errors import DECODE_ERRORS, InternalError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import LogIndex
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.replication.entries import Entry
 from samphirespring.process.replication.state_machine import (
     CommandT,
--- a/src/samphirespring/process/replication/transport.py
+++ b/src/samphirespring/process/replication/transport.py
@@ -14,12 +14,12 @@
     ReplicationEnd,
     ReplicationEnvelope,
 )
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.ids import GroupId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import InboxFullError, Mailbox
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.group_inbox import GroupInbox
 from samphirespring.process.replication.group_messages import PeerMessage
 from samphirespring.process.replication.peer_sender import PeerSender
--- a/src/samphirespring/process/replication/writer.py
+++ b/src/samphirespring/process/replication/writer.py
@@ -3,8 +3,8 @@
 import anyio.to_thread
 
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metric_names import Timing
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Timing
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.errors import DiskFailedError
 from samphirespring.process.replication.group_inbox import GroupInbox
 from samphirespring.process.replication.group_messages import WriteDone, WriteFailed
--- a/src/samphirespring/process/runtime.py
+++ b/src/samphirespring/process/runtime.py
@@ -10,9 +10,9 @@
 from anyio.abc import TaskGroup
 
 from samphirespring.connection.listener import AddressUnavailableError
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.garbage_collection import freeze_loaded_objects
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.settings import (
     SettingsInvalidError,
     SettingsT,
--- a/src/samphirespring/process/settings_watch.py
+++ b/src/samphirespring/process/settings_watch.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 
--- a/src/samphirespring/process/stall_watch.py
+++ b/src/samphirespring/process/stall_watch.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from samphirespring.process.agent_messages import AgentMessage, RecordStall
+from samphirespring.process.agent.agent_messages import AgentMessage, RecordStall
 from samphirespring.process.detection.observations import Stall
 from samphirespring.process.detection.stalls import compute_stall_stage
 from samphirespring.process.detection.target_evaluator import DetectionTerms
--- a/src/samphirespring/process/target_prober.py
+++ b/src/samphirespring/process/target_prober.py
@@ -6,15 +6,15 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from samphirespring.process.agent_messages import AgentMessage, ListProbePlans, RecordProbe
+from samphirespring.process.agent.agent_messages import AgentMessage, ListProbePlans, RecordProbe
 from samphirespring.process.detection.probe_schedule import ProbePlan, ProbeSchedule
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.health_probe import HealthProbe
 from samphirespring.process.ids import TargetId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import InboxFullError, Mailbox, ask
-from samphirespring.process.metric_names import Counter, Timing
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metric_names import Counter, Timing
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -8,10 +8,10 @@
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.models import make_fault_model
 from samphirespring.process.document.relay_tree import Peer
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.host_dump import HostDump, dump_host
 from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion, TargetId
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask
 from samphirespring.process.paging import (
     DumpList,
--- a/src/samphirespring/process/tls_reloader.py
+++ b/src/samphirespring/process/tls_reloader.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from samphirespring.process.event_log import EventLog
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metric_names import Counter
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.settings import SettingsInvalidError, TlsSettings
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -11,7 +11,7 @@
 from samphirespring.process.ledger.fencer import AttemptFencer
 from samphirespring.process.ledger.states import ClaimState
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metric_names import Counter
+from samphirespring.process.metrics.metric_names import Counter
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.process.traffic_limiter import AcquireRetry
 from samphirespring.request.action_coordinator import ActionCoordinator
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -5,13 +5,13 @@
 from samphirespring.connection.refusals import TypedRefusal
 from samphirespring.connection.upstream import UpstreamClient, UpstreamError
 from samphirespring.process.action_guard import EndAction
-from samphirespring.process.admission_queue import Admission
+from samphirespring.process.agent.admission_queue import Admission
 from samphirespring.process.detection.classification import ResponseInspector, classify_failure
 from samphirespring.process.detection.states import ObservedOutcome
-from samphirespring.process.event_log import EventLog
 from samphirespring.process.frame_batcher import FrameBatcher
 from samphirespring.process.ledger.states import AttemptFate
-from samphirespring.process.log_events import LogEvent
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.response_capture import ResponseCapture
 from samphirespring.process.stall_watch import AttemptWait
 from samphirespring.process.targets import TargetLoad
--- a/src/samphirespring/request/context.py
+++ b/src/samphirespring/request/context.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metrics import Metrics
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.target_table import TableMessage
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -4,7 +4,7 @@
 
 from samphirespring.process.ids import TargetId
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metric_names import Counter
+from samphirespring.process.metrics.metric_names import Counter
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.process.traffic_limiter import AcquireRetry
 from samphirespring.request.attempt import Attempt, make_attempt_request
--- a/tests/benchmarks/capacity.py
+++ b/tests/benchmarks/capacity.py
@@ -20,7 +20,7 @@
     RegistryVersion,
     TargetId,
 )
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.registry.commands import ChangeHosts
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry_service import RegistryService
--- a/tests/benchmarks/document.py
+++ b/tests/benchmarks/document.py
@@ -32,7 +32,7 @@
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.ids import GroupId
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.settings import ControlSettings
 from samphirespring.process.timers import MonotonicTimerService
--- a/tests/benchmarks/memory.py
+++ b/tests/benchmarks/memory.py
@@ -20,7 +20,7 @@
 from samphirespring.connection.link_server import UnaryHandler, serve_link
 from samphirespring.connection.registry_link import REPORT_HOSTS
 from samphirespring.process.document.store import DocumentStore
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.state_machine import LocalProposer
 from samphirespring.process.runtime import run_tasks
--- a/tests/benchmarks/memory_node.py
+++ b/tests/benchmarks/memory_node.py
@@ -10,7 +10,7 @@
 
 from samphirespring.process.composition.node import Node
 from samphirespring.process.garbage_collection import freeze_loaded_objects
-from samphirespring.process.logs import configure_logs
+from samphirespring.process.logs.logs import configure_logs
 from samphirespring.process.mailbox import ReplySlot
 from samphirespring.process.runtime import load_settings_or_exit
 from samphirespring.process.settings import NodeSettings
--- a/tests/document/distribution.py
+++ b/tests/document/distribution.py
@@ -20,7 +20,7 @@
 from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.targets import Locality
 from samphirespring.process.timers import MonotonicTimerService
--- a/tests/document/operations_page.py
+++ b/tests/document/operations_page.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from samphirespring.process.errors import ErrorCode
-from samphirespring.process.log_events import LogEvent
-from samphirespring.process.metric_names import Counter, Gauge, Timing
+from samphirespring.process.logs.log_events import LogEvent
+from samphirespring.process.metrics.metric_names import Counter, Gauge, Timing
 from samphirespring.request.states import RefusalCode
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/tests/document/operators.py
+++ b/tests/document/operators.py
@@ -9,7 +9,7 @@
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.ids import GroupId, ReplicaId
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.node_operations_client import NodeOperationsClient
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry_service import RegistryService
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -5,8 +5,8 @@
 
 from front.agent_load import LoadedAgent, make_attempt
 from samphirespring.connection.refusals import BodyRefusalReader
-from samphirespring.process.admission_queue import Admission, AdmissionQueue, Waiter
-from samphirespring.process.agent_messages import DrainHost, UsePolicies
+from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue, Waiter
+from samphirespring.process.agent.agent_messages import DrainHost, UsePolicies
 from samphirespring.process.detection.classification import ResponseInspector
 from samphirespring.process.mailbox import ReplySlot
 from samphirespring.request.messages import Header, ResponseHead
--- a/tests/features/steps/detection_steps.py
+++ b/tests/features/steps/detection_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from front.fakes import CountingMetrics
-from samphirespring.process.condition_watch import ConditionWatch
+from samphirespring.process.agent.condition_watch import ConditionWatch
 from samphirespring.process.detection.observations import Observation
 from samphirespring.process.detection.parameters import get_parameters
 from samphirespring.process.detection.reference import PoolReference
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -11,13 +11,13 @@
 from front.fakes import CountingMetrics, make_attempt_message
 from samphirespring.connection.codec import MsgpackCodec
 from samphirespring.connection.metrics_http import serve_metrics
-from samphirespring.process.metric_messages import RecordDuration
-from samphirespring.process.metric_names import Counter, Gauge, Timing
-from samphirespring.process.metric_summary import MetricSummary
-from samphirespring.process.metric_values import list_label_names
-from samphirespring.process.metrics import EXPORT_INTERVAL_S
-from samphirespring.process.metrics_setup import make_metrics
-from samphirespring.process.prometheus_text import make_text_name
+from samphirespring.process.metrics.metric_messages import RecordDuration
+from samphirespring.process.metrics.metric_names import Counter, Gauge, Timing
+from samphirespring.process.metrics.metric_summary import MetricSummary
+from samphirespring.process.metrics.metric_values import list_label_names
+from samphirespring.process.metrics.metrics import EXPORT_INTERVAL_S
+from samphirespring.process.metrics.metrics_setup import make_metrics
+from samphirespring.process.metrics.prometheus_text import make_text_name
 from samphirespring.process.settings import StatsdSettings
 from samphirespring.process.targets import RegistryDelta
 from samphirespring.process.timers import ManualTimerService
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -12,7 +12,7 @@
 from samphirespring.process.detection.classification import ResponseInspector
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.state_machine import LocalProposer
--- a/tests/features/steps/paths_steps.py
+++ b/tests/features/steps/paths_steps.py
@@ -8,7 +8,7 @@
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.path_link import PingReply
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.path_prober import PathProber
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.states import TargetCondition, TargetPhase
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -21,14 +21,14 @@
 from samphirespring.platform.operator_http import ConfigurationApp
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
 from samphirespring.platform.units import parse_seconds
-from samphirespring.process.agent import Agent
-from samphirespring.process.agent_messages import AnnounceTarget
-from samphirespring.process.departure_store import DepartureStore
+from samphirespring.process.agent.agent import Agent
+from samphirespring.process.agent.agent_messages import AnnounceTarget
+from samphirespring.process.agent.departure_store import DepartureStore
 from samphirespring.process.document.commands import ChangeSection, DocumentSnapshot
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.document.state_machine import DocumentStateMachine
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.replication.state_machine import LocalProposer, NotLeaderError
 from samphirespring.process.states import TargetPhase
--- a/tests/features/steps/probes_steps.py
+++ b/tests/features/steps/probes_steps.py
@@ -11,8 +11,8 @@
 from front.fakes import CountingMetrics
 from front.virtual_time import VirtualLoop, VirtualTimerService
 from samphirespring.connection.health_probe import HttpHealthProbe
-from samphirespring.process.agent import Agent
-from samphirespring.process.agent_messages import Announcement, AnnounceTarget, UsePolicies
+from samphirespring.process.agent.agent import Agent
+from samphirespring.process.agent.agent_messages import Announcement, AnnounceTarget, UsePolicies
 from samphirespring.process.detection.observations import Observation
 from samphirespring.process.detection.parameters import get_parameters
 from samphirespring.process.detection.probe_schedule import (
--- a/tests/features/steps/registry_steps.py
+++ b/tests/features/steps/registry_steps.py
@@ -18,13 +18,13 @@
     RecordDeparture,
     ReportBatch,
 )
-from samphirespring.process.agent import Agent
-from samphirespring.process.agent_messages import Announcement, AnnounceTarget
+from samphirespring.process.agent.agent import Agent
+from samphirespring.process.agent.agent_messages import Announcement, AnnounceTarget
 from samphirespring.process.control_client import ControlClient
 from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.registry.commands import (
     ChangeHosts,
     HostDeparture,
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -15,7 +15,7 @@
 from samphirespring.platform.settings import PlatformSeedReader
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.states import ObservedOutcome
-from samphirespring.process.log_sink import LogSink
+from samphirespring.process.logs.log_sink import LogSink
 from samphirespring.process.settings_watch import (
     CHECK_INTERVAL_S,
     SeedConsumer,
--- a/tests/features/steps/tls_steps.py
+++ b/tests/features/steps/tls_steps.py
@@ -24,7 +24,7 @@
 from samphirespring.connection.link_server import UnaryHandler, serve_link
 from samphirespring.connection.operator_client import NoControlHostError, OperatorClient
 from samphirespring.connection.operator_messages import DocumentView
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.timers import ManualTimerService, MonotonicTimerService
 from samphirespring.process.tls import make_client_context
--- a/tests/front/agent_load.py
+++ b/tests/front/agent_load.py
@@ -5,9 +5,9 @@
 import anyio
 
 from front.virtual_time import VirtualLoop, VirtualTimerService
-from samphirespring.process.admission_queue import Admission
-from samphirespring.process.agent import Agent
-from samphirespring.process.agent_messages import (
+from samphirespring.process.agent.admission_queue import Admission
+from samphirespring.process.agent.agent import Agent
+from samphirespring.process.agent.agent_messages import (
     AdmitAttempt,
     Announcement,
     AnnounceTarget,
@@ -15,7 +15,7 @@
     UsePolicies,
 )
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.targets import Locality
 from samphirespring.request.messages import AttemptRequest
 from samphirespring.version.document import ResponseCheck, ServicePolicy
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -17,8 +17,8 @@
 from samphirespring.process.ledger.claim_state_machine import ClaimStateMachine
 from samphirespring.process.ledger.fencer import AttemptFencer
 from samphirespring.process.local_targets import LocalTargetSource
-from samphirespring.process.metric_names import make_metric_name
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metric_names import make_metric_name
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.replication.state_machine import LocalProposer
 from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.target_table import ApplyDelta, TargetTable
--- a/tests/front/stalling_pool.py
+++ b/tests/front/stalling_pool.py
@@ -10,8 +10,8 @@
 from samphirespring.connection.upstream import UpstreamClient
 from samphirespring.connection.upstream_pool import UpstreamPool
 from samphirespring.process.action_guard import ActionGuard
-from samphirespring.process.agent import Agent
-from samphirespring.process.agent_messages import Announcement, AnnounceTarget, ReadHostRecord
+from samphirespring.process.agent.agent import Agent
+from samphirespring.process.agent.agent_messages import Announcement, AnnounceTarget, ReadHostRecord
 from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.mailbox import ask
 from samphirespring.process.runtime import run_tasks
--- a/tests/ledger/hosts.py
+++ b/tests/ledger/hosts.py
@@ -19,7 +19,7 @@
 from samphirespring.process.ledger.fencer import AttemptFencer
 from samphirespring.process.ledger.service import LedgerService
 from samphirespring.process.ledger.states import ClaimState
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.settings import ControlSettings, LocalitySettings, ReplicaPeer
 from samphirespring.process.states import MemberStanding
--- a/tests/registry/tree.py
+++ b/tests/registry/tree.py
@@ -6,11 +6,11 @@
 import anyio
 
 from samphirespring.connection.link_errors import LinkUnavailableError
-from samphirespring.process.agent_messages import ReadHostRecord
+from samphirespring.process.agent.agent_messages import ReadHostRecord
 from samphirespring.process.document.relay_tree import Peer
 from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.mailbox import Mailbox
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.registry.initial_table import InitialTableSearch
 from samphirespring.process.registry.report_sender import TreeReportSender
 from samphirespring.process.registry.state_machine import RegistryStateMachine
--- a/tests/replication/in_memory.py
+++ b/tests/replication/in_memory.py
@@ -8,7 +8,7 @@
 
 from replication.line_list import LineList
 from samphirespring.process.ids import GroupId, ReplicaId
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.replication.context import ReplicationContext
 from samphirespring.process.replication.disk import FolderDisk
 from samphirespring.process.replication.group import ReplicatedGroup
--- a/tests/replication/loopback.py
+++ b/tests/replication/loopback.py
@@ -10,7 +10,7 @@
 from samphirespring.process.control_groups import ControlGroups
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.ids import FailureDomainName, GroupId, HostId, RegionName, ReplicaId
-from samphirespring.process.metrics import NullMetrics
+from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.replication.disk import FolderDisk
 from samphirespring.process.replication.errors import DiskFailedError
 from samphirespring.process.runtime import run_tasks
