--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -57,6 +57,10 @@
 from samphirespring.version.ids import SectionName
 
 LINK_CAPACITY = 4_000
+OPERATOR_DRAIN_TIMEOUT_S = 2.0
+"""Longest wait for operators' requests in flight at a planned stop, after the handover of votes, in
+seconds."""
+
 DOCUMENT_GROUP = GroupId("document")
 REGISTRY_GROUP = GroupId("registry")
 
@@ -159,6 +163,7 @@
             serve_http(
                 self._make_app(),
                 address=self._settings.operator_listen,
+                drain_timeout_s=OPERATOR_DRAIN_TIMEOUT_S,
                 tls=self._operator_tls,
             ),
         ):
