--- a/src/samphirespring/process/agent/departure_recorder.py
+++ b/src/samphirespring/process/agent/departure_recorder.py
@@ -13,6 +13,8 @@
 """Longest wait for the record of a departure, in seconds; who announced it waits for 1 s."""
 
 READ_RETRY_S = 0.2
+MAX_RECORDED = 1_000
+"""Number of targets whose recorded departure is remembered; others may be recorded once more."""
 
 _log = EventLog()
 
@@ -46,7 +48,8 @@
                 break
             except SamphireError:
                 await self._timers.wait_for(READ_RETRY_S)
-        self._recorded |= {departure.target: departure for departure in departures}
+        for departure in departures:
+            self._remember(departure)
         _log.info(
             LogEvent.DEPARTURES_READ,
             targets=[departure.target for departure in departures],
@@ -108,6 +111,12 @@
                 await self._store.record(departure)
             except SamphireError:
                 return False
-            self._recorded[departure.target] = departure
+            self._remember(departure)
             return True
         return False
+
+    def _remember(self, departure: TargetDeparture) -> None:
+        self._recorded.pop(departure.target, None)
+        self._recorded[departure.target] = departure
+        if len(self._recorded) > MAX_RECORDED:
+            del self._recorded[next(iter(self._recorded))]
