--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -57,6 +57,8 @@
     GROUP_FORMED = "group_formed"
     GROUP_JOINED = "group_joined"
     MEMBERSHIP_CHANGE_STARTED = "membership_change_started"
+    GROUP_LEADERSHIP_GAINED = "group_lead_gained"
+    GROUP_LEADERSHIP_LOST = "group_lead_lost"
     LEADERSHIP_HANDED_OVER = "lead_handed_over"
     GROUP_PLACEMENT_MISMATCH = "group_placed_otherwise"
     LEADERSHIP_TRANSFERRED = "lead_transferred"
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -165,6 +165,8 @@
         self._applier = Applier(adapter=adapter, limits=context.limits)
         self._pending_confirmations: list[_PendingConfirmation] = []
         self._failure: SamphireError | None = None
+        self._has_led = False
+        """Whether this replica led its group when its effects were performed last."""
 
     async def run(self) -> None:
         """Serve messages and ticks until a write fails or the group is formed.
@@ -285,6 +287,7 @@
     # Effects.
 
     async def _perform_effects(self) -> None:
+        self._log_leadership()
         applied_before = self._applier.applied_index
         for effect in self._member.pop_effects(self._timers.read_now_s()):
             await self._perform(effect)
@@ -296,6 +299,13 @@
             self._notify_subscribers()
             self._start_snapshot_if_due()
 
+    def _log_leadership(self) -> None:
+        leads = self._replica.leadership is not None
+        if leads is not self._has_led:
+            self._has_led = leads
+            event = LogEvent.GROUP_LEADERSHIP_GAINED if leads else LogEvent.GROUP_LEADERSHIP_LOST
+            _log.info(event, group=self._group, term=self._replica.term)
+
     async def _perform(self, effect: Effect) -> None:
         match effect:
             case Post():
--- a/tests/registry/tree.py
+++ b/tests/registry/tree.py
@@ -80,6 +80,10 @@
         self.control_tables += reply.delta.complete
         return reply
 
+    async def call_leader(self, method, batch):
+        """Handle a call to the leader, which this fake is."""
+        return await self.call(method, batch)
+
     @contextmanager
     def use(self, address):
         """Provide a link to a host, as a link pool does."""
