--- a/src/samphirespring/process/agent/announcement_order.py
+++ b/src/samphirespring/process/agent/announcement_order.py
@@ -75,13 +75,16 @@
             self._record(departure.target, order)
 
     def make_departure(self, target: TargetId) -> TargetDeparture | None:
-        """Return the latest announcement of a target as its departure, or None if there is none.
+        """Return the latest announcement of a target as its departure.
+
+        Returns None for a target that states neither start nor sequence: nothing tells its late
+        announcements from those of its next start.
 
         Args:
             target: The target.
         """
-        order = self._latest.get(target)
-        if order is None:
+        order = self._latest.get(target, (0, 0))
+        if order == (0, 0):
             return None
         return TargetDeparture(target=target, started_ms=order[0], sequence=order[1])
 
--- a/src/samphirespring/process/control_groups.py
+++ b/src/samphirespring/process/control_groups.py
@@ -28,6 +28,7 @@
 from samphirespring.process.replication.context import GroupLimits, ReplicationContext
 from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.disk import Disk, FolderDisk
+from samphirespring.process.replication.errors import BusyError
 from samphirespring.process.replication.group import ReplicatedGroup, find_folder
 from samphirespring.process.replication.non_member_responder import NonMemberResponder
 from samphirespring.process.replication.state_machine import (
@@ -202,10 +203,18 @@
     ) -> None:
         may_stop = False
         with anyio.move_on_after(HANDOVER_TIMEOUT_S):
-            while not (may_stop := await group.depart()):
-                await self._context.timers.wait_for(HANDOVER_POLL_S)
+            while not may_stop:
+                may_stop = await self._depart(group)
+                if not may_stop:
+                    await self._context.timers.wait_for(HANDOVER_POLL_S)
         _log.info(LogEvent.VOTE_RELEASED, group=group_id, in_time=may_stop)
 
+    async def _depart(self, group: ReplicatedGroup[Any, Any, Any]) -> bool:
+        try:
+            return await group.depart()
+        except BusyError:
+            return False
+
 
 def _list_peers(settings: ControlSettings) -> dict[ReplicaId, str]:
     """Return the link addresses of the control hosts that the settings name."""
