--- a/src/samphirespring/process/control_client.py
+++ b/src/samphirespring/process/control_client.py
@@ -96,6 +96,16 @@
             self.prefer(reply.leader_link)
         raise LinkUnavailableError("no control host is the leader", sent=True)
 
+    def record_failure(self, address: str) -> None:
+        """Call a control host last that failed a call outside this client.
+
+        Args:
+            address: Its link address.
+        """
+        addresses = self._list_in_order()
+        if addresses and addresses[0] == address:
+            self._preferred = addresses[1 % len(addresses)]
+
     def prefer(self, address: str) -> None:
         """Call this control host first from now on, even if it isn't among `addresses`.
 
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -197,6 +197,7 @@
                 return await self._fetch_from(hint.address, timeout_s=HINT_FETCH_TIMEOUT_S)
             except SamphireError as error:
                 self._record_failure(hint.address, error)
+                control.record_failure(hint.address)
         return await control.call(FETCH_DELTA, self._make_fetch_request())
 
     async def _fetch_from(self, address: str, *, timeout_s: float) -> DocumentDelta:
--- a/tests/document/distribution.py
+++ b/tests/document/distribution.py
@@ -46,7 +46,7 @@
 class DistributionNode:
     """The document tasks of one node; `front` receives each version that comes into force."""
 
-    def __init__(self, peer, peers, *, control, front, seeds=(), wait_s=10.0):
+    def __init__(self, peer, peers, *, control, front, seeds=(), wait_s=10.0, more_control=()):
         timers = MonotonicTimerService()
         locality = Locality(region="region-1", failure_domain=DOMAIN, host=peer.host)
         self.peer = peer
@@ -69,7 +69,7 @@
             metrics=NullMetrics(),
             wait_s=wait_s,
             source_random=random.Random(peer.host),
-            control=ControlClient(self.links, control),
+            control=ControlClient(self.links, [*control, *more_control]),
         )
         notices = NoticeWatch(
             own_host=peer.host,
--- a/tests/features/document_distribution.feature
+++ b/tests/features/document_distribution.feature
@@ -18,6 +18,13 @@
     When a version is published
     Then every other node has the version within 2.0 s
 
+  # Guards against a node that asks the frozen control host again, for as long as a call may take,
+  # before it asks another one.
+  Scenario: A version is fetched although the control host that told of it has frozen
+    Given a node whose only source is a control host that has frozen
+    When the frozen control host has told the node that a version exists
+    Then the node has the version from another control host within 2.0 s
+
   Scenario: Nodes keep running without the control host and serve the document to a new node
     Given a failure domain of 3 nodes under one control host
     When the control host stops and a node starts with a peer in its settings
--- a/tests/features/steps/document_distribution_steps.py
+++ b/tests/features/steps/document_distribution_steps.py
@@ -16,6 +16,7 @@
 from samphirespring.connection.link_server import serve_link
 from samphirespring.process.document.relay_tree import choose_sources
 from samphirespring.process.document.store import DocumentStore
+from samphirespring.process.document.version_hint import VersionHint
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.mailbox import Mailbox
 from samphirespring.process.runtime import run_tasks
@@ -237,3 +238,42 @@
 @then("the new node has the last version")
 def step_check_late(context):
     assert context.fixture.versions[context.late_host][-1:] == [context.last_version]
+
+
+@given("a node whose only source is a control host that has frozen")
+def step_frozen_source(context):
+    # The kernel accepts connections to it, and nothing ever replies.
+    frozen = socket.create_server((HOST, SILENT_PORT))
+    context.add_cleanup(frozen.close)
+
+
+@when("the frozen control host has told the node that a version exists")
+def step_hint_of_frozen(context):
+    async def main():
+        async with anyio.create_task_group() as group:
+            fixture = DistributionFixture(1, group)
+            await fixture.start_control()
+            (peer,) = fixture.peers
+            front = Mailbox(name="front", capacity=100)
+            frozen = f"{HOST}:{SILENT_PORT}"
+            node = DistributionNode(
+                peer, fixture.peers, control=[frozen], front=front, more_control=[CONTROL]
+            )
+            group.start_soon(fixture._record_versions, peer.host, front)
+            await fixture._start(peer.host, node.run)
+            started_at_s = anyio.current_time()
+            node.follower.hints.post(
+                VersionHint(stamp=fixture.state_machine.sections.stamp, address=frozen)
+            )
+            await fixture.wait_for(1, [peer.host])
+            context.fetch_duration_s = anyio.current_time() - started_at_s
+            for name in tuple(fixture.hosts):
+                await fixture.stop(name)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("the node has the version from another control host within {limit_s:g} s")
+def step_check_fetched(context, limit_s):
+    assert context.fetch_duration_s <= limit_s, context.fetch_duration_s
