--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -61,8 +61,11 @@
 
     async def _create_connection(self) -> Any:
         protocol = await super()._create_connection()
-        connection = protocol.connection
-        link_socket = connection._transport.get_extra_info("socket")
+        # The library drops the transport of a connection that was lost as it opened.
+        transport = getattr(protocol.connection, "_transport", None)
+        if transport is None:
+            raise ConnectionResetError("the connection was lost as it opened")
+        link_socket = transport.get_extra_info("socket")
         if link_socket is not None:
             enable_dead_peer_detection(link_socket)
         self.link_socket = link_socket
--- a/tests/features/link_break.feature
+++ b/tests/features/link_break.feature
@@ -13,6 +13,19 @@
       | unary  |
       | stream |
 
+  # Guards against processes that end by themselves: a connection that was lost before the call went on
+  # raised an error that no caller handles.
+  Scenario Outline: A connection that is lost as it opens fails only the call
+    Given a peer whose connections are lost as they open
+    When a task makes a <kind> call, and then uses a cancel scope
+    Then the call fails with "link_unavailable"
+    And the task continues after the scope
+
+    Examples:
+      | kind   |
+      | unary  |
+      | stream |
+
   Scenario Outline: Nothing is sent to a peer that has stopped acknowledging packets
     Given a link with <timeouts> retransmission timeouts in a row
     When a task makes a stream call
--- a/tests/features/steps/link_break_steps.py
+++ b/tests/features/steps/link_break_steps.py
@@ -3,6 +3,7 @@
 import socket
 
 import anyio
+import grpclib.client
 from behave import given, then, when
 
 from samphirespring.connection.attempt_link import RUN_ATTEMPT
@@ -23,6 +24,24 @@
     context.close = close
 
 
+@given("a peer whose connections are lost as they open")
+def step_lost_connections(context):
+    connect = grpclib.client.Channel._create_connection
+
+    async def connect_and_lose(channel):
+        protocol = await connect(channel)
+        protocol.connection_lost(None)
+        return protocol
+
+    grpclib.client.Channel._create_connection = connect_and_lose
+    context.add_cleanup(setattr, grpclib.client.Channel, "_create_connection", connect)
+
+    async def ignore(stream):
+        await anyio.sleep_forever()
+
+    context.close = ignore
+
+
 async def call_unary(link):
     await link.call(WATCH_DOCUMENT, WatchDocument(known=NO_STAMP, wait_s=0.0), timeout_s=5.0)
 
