--- a/src/samphirespring/process/replication/messages.py
+++ b/src/samphirespring/process/replication/messages.py
@@ -169,6 +169,9 @@
 )
 LeaderMessage = Heartbeat | AppendRequest | SnapshotChunk
 FollowerMessage = HeartbeatReply | AppendReply | AppendRejection | SnapshotReply
+AnsweredMessage = PreVoteRequest | VoteRequest | LeaderMessage | Announcement
+"""Messages to which the receiving replica replies, whichever role it has."""
+
 FormationMessage = Announcement | AnnouncementReply
 DepartureMessage = Departure | DepartureReply
 GroupMessage = ReplicaMessage | FormationMessage | DepartureMessage
--- a/src/samphirespring/process/replication/peer_sender.py
+++ b/src/samphirespring/process/replication/peer_sender.py
@@ -15,7 +15,7 @@
 from samphirespring.process.mailbox import InboxFullError, Mailbox
 from samphirespring.process.metrics.metric_names import Counter
 from samphirespring.process.metrics.metrics import Metrics
-from samphirespring.process.replication.messages import Heartbeat, HeartbeatReply
+from samphirespring.process.replication.messages import AnsweredMessage, Heartbeat, HeartbeatReply
 from samphirespring.process.timers import TimerService
 
 INBOX_CAPACITY = 5_000
@@ -23,7 +23,7 @@
 REPLY_TIMEOUT_S = 3.0
 """Time without a message from the peer after which the link reconnects, in seconds.
 
-It runs only while messages are unanswered.
+It runs only while messages that need a reply are unanswered.
 """
 
 RECONNECT_DELAY_S = 0.25
@@ -117,7 +117,8 @@
             raise LinkUnavailableError(f"{self._address}: no message from the peer", sent=True)
         batch = ReplicationBatch(sender_address=self._own_address, envelopes=tuple(envelopes))
         await upload.send(batch, timeout_s=SEND_TIMEOUT_S)
-        if self._oldest_unanswered_at_s is None:
+        expects_reply = any(isinstance(e.message, AnsweredMessage) for e in envelopes)
+        if expects_reply and self._oldest_unanswered_at_s is None:
             self._oldest_unanswered_at_s = now_s
         self._metrics.count(Counter.REPLICATION_BATCHES)
         if not self._is_up:
