--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -51,7 +51,7 @@
 from samphirespring.process.document.saver import DocumentSaver
 from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.document.store import DocumentStore
-from samphirespring.process.front import Front
+from samphirespring.process.front import EndRequests, Front
 from samphirespring.process.ledger.client import LedgerClient
 from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.logs.event_log import EventLog
@@ -92,6 +92,8 @@
 
 LINK_CAPACITY = 4_000
 DRAIN_POLL_S = 0.05
+END_RESPONSE_TIME_S = 0.1
+"""Time before the end of a drain at which the requests left are ended with an error, in seconds."""
 
 _log = EventLog()
 
@@ -351,6 +353,7 @@
                     callers.begin_drain()
                     await self._start_host_drain()
                     drain_ends_at_s = self._timers.read_now_s() + self._settings.drain_timeout_s
+                    self._front.inbox.post(EndRequests(at_s=drain_ends_at_s - END_RESPONSE_TIME_S))
                 _log.info(LogEvent.CALLERS_DRAINED, cancelled=callers.cancelled_count)
                 await self._wait_until_idle(drain_ends_at_s)
         finally:
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -30,6 +30,7 @@
     REFUSED = "refused"
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
+    NODE_STOPPING = "node_stopping"
     ATTEMPT_FAILED = "attempt_failed"
     RESPONSE_TRUNCATED = "answer_cut"
     KEY_REQUIRED = "key_required"
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+import anyio
 import msgspec
 
 from samphirespring.process.action_runner import ActionRunner
@@ -21,13 +22,14 @@
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.earlier_requests import account_for_earlier_requests
 from samphirespring.request.errors import (
+    NodeStoppingError,
     NoDocumentError,
     NoRouteError,
     RateLimitedError,
     RequestError,
     RequestTimeoutError,
 )
-from samphirespring.request.exchange import Exchange
+from samphirespring.request.exchange import STOP_RETRY_AFTER_S, Exchange
 from samphirespring.request.limits import find_limits
 from samphirespring.request.split import SplitSequence
 from samphirespring.request.states import Outcome
@@ -49,7 +51,17 @@
     reply: ReplySlot["FrontDump"]
 
 
-FrontMessage = UseDocument | ReadFrontDump
+class EndRequests(msgspec.Struct, frozen=True, kw_only=True):
+    """Ends all requests at a given time, because the node stops.
+
+    Attributes:
+        at_s: The time, in seconds of monotonic time.
+    """
+
+    at_s: float
+
+
+FrontMessage = UseDocument | ReadFrontDump | EndRequests
 
 
 class FrontDump(StateDump, frozen=True, kw_only=True):
@@ -81,6 +93,9 @@
         self._splits = SplitSequence(context.generator)
         self._in_flight = 0
         self._served = 0
+        self._request_scopes: set[anyio.CancelScope] = set()
+        self._has_ended = False
+        """Whether all requests were ended."""
 
     @property
     def name(self) -> str:
@@ -89,13 +104,16 @@
 
     async def run(self) -> None:
         """Serve messages until cancelled."""
-        while True:
-            message = await self.inbox.receive()
-            match message:
-                case UseDocument():
-                    self._use_document(message.compiled)
-                case ReadFrontDump():
-                    message.reply.send(self._make_dump())
+        async with anyio.create_task_group() as tasks:
+            while True:
+                message = await self.inbox.receive()
+                match message:
+                    case UseDocument():
+                        self._use_document(message.compiled)
+                    case ReadFrontDump():
+                        message.reply.send(self._make_dump())
+                    case EndRequests():
+                        tasks.start_soon(self._end_requests, message.at_s)
 
     async def dump(self) -> FrontDump:
         """Return the front's state at one moment."""
@@ -150,8 +168,11 @@
         started_at_s = self._context.timers.read_now_s()
         end = "left"
         try:
-            await exchange.run()
-            end = "answered"
+            with self._end_with_node() as scope:
+                await exchange.run()
+                end = "answered"
+            if scope.cancelled_caught:
+                raise exchange.make_stop_error()
         except RequestError as error:
             end = f"{error.code.value}:{error.outcome.value}"
             raise
@@ -193,7 +214,30 @@
             retention_s=compiled.fleet.ledger_retention_s,
             writer=writer,
         )
-        await self._runner.serve(exchange)
+        with self._end_with_node() as scope:
+            await self._runner.serve(exchange)
+        if scope.cancelled_caught:
+            raise NodeStoppingError(
+                "the node stopped while the action ran", outcome=Outcome.UNKNOWN
+            )
+
+    @contextmanager
+    def _end_with_node(self) -> Iterator[anyio.CancelScope]:
+        """Yield a scope that is cancelled when the node ends its requests."""
+        if self._has_ended:
+            raise NodeStoppingError("the node stops", retry_after_s=STOP_RETRY_AFTER_S)
+        with anyio.CancelScope() as scope:
+            self._request_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._request_scopes.discard(scope)
+
+    async def _end_requests(self, at_s: float) -> None:
+        await self._context.timers.wait_until(at_s)
+        self._has_ended = True
+        for scope in self._request_scopes:
+            scope.cancel()
 
     async def _check_limits(
         self, request: CallerRequest, route: Route, compiled: CompiledDocument
--- a/src/samphirespring/request/errors.py
+++ b/src/samphirespring/request/errors.py
@@ -98,6 +98,13 @@
     status = 503
 
 
+class NodeStoppingError(RequestError):
+    """The node ends before it could complete the request."""
+
+    code = ErrorCode.NODE_STOPPING
+    status = 503
+
+
 class AttemptFailedError(RequestError):
     """The last attempt failed at the backend server."""
 
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -14,6 +14,7 @@
 from samphirespring.request.deadline import AGENT_REPORT_GRACE_S, Deadline, make_deadline
 from samphirespring.request.errors import (
     DeadlineExpiredError,
+    NodeStoppingError,
     NoTargetError,
     RequestError,
     ResponseCutError,
@@ -39,6 +40,9 @@
 NO_TARGET_RETRY_AFTER_S = 1
 """Retry delay reported to the caller if no target is available, in seconds."""
 
+STOP_RETRY_AFTER_S = 1
+"""Retry delay reported to the caller of a request that a stopping node ends, in seconds."""
+
 HEDGE_METRICS = {
     RetryKind.HEDGE: Counter.FRONT_HEDGES,
     RetryKind.EXECUTION: Counter.FRONT_STALL_RETRIES,
@@ -264,6 +268,23 @@
         if self._compute_remaining_ms() <= 0:
             raise DeadlineExpiredError("the deadline passed before an attempt could start")
 
+    def make_stop_error(self) -> RequestError:
+        """Return the error for a request that is cancelled because the node stops."""
+        if self._response.owner is not None:
+            error: RequestError = ResponseCutError(
+                "the node stopped before the response was complete", outcome=Outcome.UNKNOWN
+            )
+        elif self._open_attempts or self._may_have_run:
+            error = NodeStoppingError(
+                f"the node stopped {self._describe_wait()}", outcome=Outcome.UNKNOWN
+            )
+        else:
+            error = NodeStoppingError(
+                f"the node stopped {self._describe_wait()}", retry_after_s=STOP_RETRY_AFTER_S
+            )
+        error.attempt_count = self.attempt_count
+        return error
+
     def _make_deadline_error(self) -> RequestError:
         if self._response.owner is not None:
             return ResponseCutError(
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -13,6 +13,19 @@
     Then the caller receives a complete response that closes the connection
     And the stopped node exits with status 0
 
+  # Guards against requests that end with an internal error, or none, at the end of a stop.
+  Scenario Outline: A stopping node tells the callers of requests that it can't complete
+    Given a node that gives requests in flight 1.5 s when it stops
+    And the backend servers don't respond
+    When the node is asked to stop 500 ms after a caller sent it <request>
+    Then the caller receives status <status>, code "node_stopping" and outcome "unknown"
+    And the stopped node exits with status 0
+
+    Examples:
+      | request              | status |
+      | an action            | 503    |
+      | an action with a key | 503    |
+
   Scenario: A disconnecting caller's request is cancelled without a logged error
     Given the backend servers respond after 1500 ms
     When a caller disconnects 200 ms after sending a read
--- a/tests/features/request_decisions.feature
+++ b/tests/features/request_decisions.feature
@@ -85,6 +85,26 @@
       | 3000  | before a target was selected |
       | 1900  | while an attempt ran         |
 
+  # Guards against requests that a stopping node gives up without saying whether they ran.
+  Scenario Outline: A stopping node answers the requests that it can't complete
+    When a node stops 1000 ms after it got <request>, while <state>
+    Then it failed after 1000 ms with "node_stopping" and outcome "<outcome>"
+
+    Examples:
+      | request              | state                                 | outcome |
+      | a read               | its attempt runs                      | unknown |
+      | an action            | its attempt runs                      | unknown |
+      | an action with a key | its attempt runs                      | unknown |
+      | a read               | it waits after a refusal              | not-run |
+      | an action            | it waits after a refusal              | not-run |
+      | a read               | it waits after a failed attempt       | unknown |
+      | an action            | it waits for the selection of a target | not-run |
+
+  Scenario: A request that comes after a stopping node has ended the others isn't started
+    When a node stops, and gets an action afterwards
+    Then it failed after 0 ms with "node_stopping" and outcome "not-run"
+    And no attempt was made
+
   Scenario Outline: Both responses of a hedged read arrive at the same time
     When 50 hedged reads receive two "<kind>" responses at the same time
     Then each caller received the complete response of one attempt
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -2,6 +2,7 @@
 import signal
 import socket
 import time
+import uuid
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -9,6 +10,7 @@
 from fleet.client import send_json, send_request
 from fleet.example import read_address
 
+ORDERS = "orders.wheatsheaf.example"
 RECIPES = "recipes.wheatsheaf.example"
 WAIT_S = 15.0
 
@@ -59,6 +61,60 @@
     assert context.exit_status == status, context.exit_status
 
 
+@given("a node that gives requests in flight {timeout:g} s when it stops")
+def step_set_drain_timeout(context, timeout):
+    settings = context.fleet.example.nodes[0]
+    text = settings.read_text()
+    settings.write_text(json.dumps(json.loads(text) | {"drain_timeout_s": timeout}))
+    _restart_after_scenario(context, settings)
+    context.add_cleanup(settings.write_text, text)
+    context.fleet.stop(settings.stem)
+    context.fleet.start_node(settings)
+    context.fleet.wait_until_serving()
+
+
+@given("the backend servers don't respond")
+def step_stall(context):
+    for target in _list_targets(context):
+        send_json(target["address"], "POST", "/_behaviour", {"mode": "stalling"})
+        context.add_cleanup(send_json, target["address"], "POST", "/_behaviour", {})
+
+
+@when("the node is asked to stop {delay:d} ms after a caller sent it {request}")
+def step_stop_during_request(context, delay, request):
+    settings = context.fleet.example.nodes[0]
+    address = read_address(settings, "caller_listen")
+    with ThreadPoolExecutor(max_workers=1) as pool:
+        future = pool.submit(SENDERS[request], address)
+        time.sleep(delay / 1_000)
+        context.exit_status = context.fleet.stop(settings.stem)
+        context.response = future.result()
+
+
+def _send_order(address, **headers):
+    headers = {
+        "Host": ORDERS,
+        "X-Workspace": "bakers",
+        "Samphire-Deadline-Ms": "30000",
+        **headers,
+    }
+    return send_json(address, "POST", "/kit-orders", {"kit": "supper"}, headers=headers)
+
+
+def _send_order_with_key(address):
+    return _send_order(address, **{"Idempotency-Key": f"stop-{uuid.uuid4()}"})
+
+
+SENDERS = {"an action": _send_order, "an action with a key": _send_order_with_key}
+
+
+@then('the caller receives status {status:d}, code "{code}" and outcome "{outcome}"')
+def step_check_error(context, status, code, outcome):
+    response = context.response
+    assert (response.status, response.code) == (status, code), response
+    assert response.headers["samphire-outcome"] == outcome, response
+
+
 @when("a node is asked to stop and a caller then sends it a read")
 def step_read_while_stopping(context):
     settings = context.fleet.example.nodes[0]
--- a/tests/features/steps/request_decisions_steps.py
+++ b/tests/features/steps/request_decisions_steps.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections import Counter
+from contextlib import asynccontextmanager
 from functools import partial
 from types import SimpleNamespace
 from typing import NamedTuple
@@ -24,6 +25,7 @@
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.summaries import encode_log_latency
 from samphirespring.process.detection.target_evaluator import DetectionTerms
+from samphirespring.process.front import EndRequests
 from samphirespring.process.local_targets import LocalSelection
 from samphirespring.process.retry_budget import RetryBudget, RetryKind
 from samphirespring.process.settings import CallerLimits
@@ -717,3 +719,79 @@
     assert ("a resend with the same key is safe" in context.refusal.detail) == (
         outcome == "unknown"
     )
+
+
+STOP_REQUESTS = {
+    "a read": (True, None),
+    "an action": (False, None),
+    "an action with a key": (False, "key-1"),
+}
+STOP_SCRIPTS = {
+    "its attempt runs": [AttemptScript(kind="stall", delay_s=100.0)],
+    "it waits after a refusal": [
+        AttemptScript(kind="refuse", code=RefusalCode.RATE_LIMITED, retry_after_ms=1_500)
+    ],
+    "it waits after a failed attempt": [
+        AttemptScript(kind="fail"),
+        AttemptScript(kind="refuse", code=RefusalCode.RATE_LIMITED, retry_after_ms=1_500),
+    ],
+    "it waits for the selection of a target": [],
+}
+
+
+def make_stopping_fleet(request, scripts):
+    idempotent, key = STOP_REQUESTS[request]
+    scripts = iter(scripts)
+    fleet = FakeFleet(
+        route=make_route(idempotent=idempotent, deadline_ms=5_000),
+        service=ServicePolicy(retry_share=1.0, retry_floor=100.0),
+        choose_script=lambda message: next(scripts),
+    )
+    return fleet, key
+
+
+@when("a node stops {delay:d} ms after it got {request}, while {state}")
+def step_stop_during_request(context, delay, request, state):
+    context.fleet, key = make_stopping_fleet(request, STOP_SCRIPTS[state])
+    if state == "it waits for the selection of a target":
+        context.fleet.exchanges.targets.select = stall_selection
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            context.sent_s = context.fleet.timers.read_now_s()
+            context.fleet.front.inbox.post(EndRequests(at_s=context.sent_s + delay / 1_000))
+            group.start_soon(partial(context.fleet.call, key=key))
+
+    run_virtual(context.fleet, main)
+
+
+@asynccontextmanager
+async def stall_selection(terms):
+    await anyio.sleep_forever()
+    yield
+
+
+@when("a node stops, and gets an action afterwards")
+def step_stop_before_request(context):
+    context.fleet, key = make_stopping_fleet("an action", [])
+
+    async def main():
+        context.fleet.front.inbox.post(EndRequests(at_s=context.fleet.timers.read_now_s()))
+        await anyio.sleep(0.01)
+        context.sent_s = context.fleet.timers.read_now_s()
+        await context.fleet.call(key=key)
+
+    run_virtual(context.fleet, main)
+
+
+@then('it failed after {delay:d} ms with "{code}" and outcome "{outcome}"')
+def step_check_stopped(context, delay, code, outcome):
+    (call,) = context.fleet.calls
+    assert call.error is not None, call
+    assert (call.error.code.value, call.error.outcome.value) == (code, outcome), call.error
+    assert abs(call.ended_s - context.sent_s - delay / 1_000) < 0.02, call.ended_s
+
+
+@then("no attempt was made")
+def step_check_no_attempt(context):
+    assert not context.fleet.sender.attempts
