--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -81,8 +81,7 @@
                 connection.begin(bodyless=request.method == b"HEAD")
                 upload = None if body is None else BodyUpload(connection, body, request.body_length)
                 async with _running(upload):
-                    frames = self._iterate_frames(connection, request, address, upload)
-                    yield _read_refusal(frames, refusal_reader, connection)
+                    yield self._iterate_frames(connection, request, address, upload, refusal_reader)
         except ConnectFailedError:
             raise UpstreamError(FailureKind.CONNECT, started=False) from None
 
@@ -92,7 +91,13 @@
         request: AttemptRequest,
         address: str,
         upload: BodyUpload | None,
+        refusal_reader: RefusalReader,
     ) -> AsyncIterator[ResponseHead | ResponseChunk]:
+        """Yield the frames of a response, and close its connection behind a refusal.
+
+        A late copy of the refusal could otherwise pass for the response to a later attempt at the
+        same request, and prove that nothing ran while the backend server runs it.
+        """
         head_received = False
         try:
             parsed = await self._send(connection, request, address, upload)
@@ -103,15 +108,19 @@
                 # closed.
                 raise UpstreamError(FailureKind.MISMATCH, started=True)
             self._limit_idle(address, parsed)
+            refusal_reader.feed_head(head)
             yield head
             head_received = True
             async for data in connection.iterate_body():
+                refusal_reader.feed_chunk(data)
                 yield ResponseChunk(data=data)
         except ConnectionBrokenError:
             if upload is not None and upload.was_aborted:
                 raise UpstreamError(FailureKind.CANCELLED, started=True) from None
             kind = FailureKind.CUT if head_received else FailureKind.RESET
             raise UpstreamError(kind, started=True) from None
+        if refusal_reader.read() is not None:
+            connection.close()
 
     async def _send(
         self,
@@ -148,26 +157,6 @@
         return b"\r\n".join((*lines, b"", b""))
 
 
-async def _read_refusal(
-    frames: AsyncIterator[ResponseHead | ResponseChunk],
-    reader: RefusalReader,
-    connection: UpstreamConnection,
-) -> AsyncIterator[ResponseHead | ResponseChunk]:
-    """Yield the frames of a response, and close its connection behind a refusal.
-
-    A late copy of the refusal could otherwise pass for the response to a later attempt at the same
-    request, and prove that nothing ran while the backend server runs it.
-    """
-    async for frame in frames:
-        if isinstance(frame, ResponseHead):
-            reader.feed_head(frame)
-        else:
-            reader.feed_chunk(frame.data)
-        yield frame
-    if reader.read() is not None:
-        connection.close()
-
-
 @asynccontextmanager
 async def _running(upload: BodyUpload | None) -> AsyncIterator[None]:
     """Run an upload while the context is open; leaving ends it.
--- a/src/samphirespring/process/control_client.py
+++ b/src/samphirespring/process/control_client.py
@@ -58,15 +58,14 @@
         Raises:
             LinkUnavailableError: No control host replied.
         """
-        addresses = self._list_in_order()
-        for position, address in enumerate(addresses):
+        for address in self._list_in_order():
             try:
                 with self._pool.use(address) as link:
                     reply = await link.call(method, request, timeout_s=timeout_s)
             except SamphireError as error:
                 _log.debug(LogEvent.CONTROL_CALL_FAILED, address=address, code=error.code.value)
-                # The next call begins behind it, also if this one is cancelled meanwhile.
-                self._preferred = addresses[(position + 1) % len(addresses)]
+                # Recorded at once, as this call may be cancelled before another host replies.
+                self.record_failure(address)
                 continue
             self._preferred = address
             return reply
@@ -97,7 +96,7 @@
         raise LinkUnavailableError("no control host is the leader", sent=True)
 
     def record_failure(self, address: str) -> None:
-        """Call a control host last that failed a call outside this client.
+        """Call a control host last that failed a call, here or outside this client.
 
         Args:
             address: Its link address.
