--- a/src/samphirespring/connection/registry_link.py
+++ b/src/samphirespring/connection/registry_link.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from samphirespring.connection.link_methods import UnaryMethod
-from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
+from samphirespring.process.ids import HostId, Incarnation, RegistryVersion, TargetId
 from samphirespring.process.targets import HostRecord, RegistryDelta, TargetDeparture
 from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
@@ -69,7 +69,7 @@
 
 
 class ReadDepartures(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Requests the recorded departures of a host's targets."""
+    """Requests the recorded departures and drains of a host's targets."""
 
     host: HostId
 
@@ -82,6 +82,9 @@
     """Link address of the registry's leader, if the replying control host isn't the leader; nothing
     was recorded or read then."""
 
+    drained: tuple[TargetId | None, ...] = ()
+    """Targets that operators drain; None stands for all targets of the host."""
+
 
 REPORT_HOSTS: UnaryMethod[ReportBatch, BatchReply] = UnaryMethod(
     path="/samphire.Registry/ReportHosts", request_type=ReportBatch, reply_type=BatchReply
--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -21,7 +21,7 @@
     RecordProbe,
     RecordStall,
     SetDrain,
-    UseDepartures,
+    UseLeaveRecord,
     UsePolicies,
     WithdrawTarget,
 )
@@ -43,7 +43,13 @@
 from samphirespring.process.metrics.metric_names import Counter, Gauge
 from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.targets import HostRecord, Locality, TargetLoad, TargetRecord
+from samphirespring.process.targets import (
+    HostRecord,
+    LeaveRecord,
+    Locality,
+    TargetLoad,
+    TargetRecord,
+)
 from samphirespring.process.tasks import OwnerTask
 from samphirespring.process.timers import TimerService
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
@@ -116,7 +122,7 @@
             self._wait_tasks = group
             group.start_soon(self._expire_targets)
             if self._departure_recorder.has_store:
-                group.start_soon(self._read_departures)
+                group.start_soon(self._read_leave_record)
             while True:
                 self._handle(await self.inbox.receive())
 
@@ -140,9 +146,8 @@
                 self._announce(message)
             case WithdrawTarget():
                 self._withdraw(message)
-            case UseDepartures():
-                now_s = self._timers.read_now_s()
-                self._targets.use_departures(message.departures, now_s=now_s)
+            case UseLeaveRecord():
+                self._use_leave_record(message.record)
             case ReadHostRecord():
                 message.reply.send(self._read_record())
             case DrainHost():
@@ -336,9 +341,15 @@
             partial(self._departure_recorder.confirm, departure, reply=reply, value=value)
         )
 
-    async def _read_departures(self) -> None:
-        departures = await self._departure_recorder.read()
-        self.inbox.post(UseDepartures(departures=departures))
+    async def _read_leave_record(self) -> None:
+        record = await self._departure_recorder.read()
+        self.inbox.post(UseLeaveRecord(record=record))
+
+    def _use_leave_record(self, record: LeaveRecord) -> None:
+        # Targets that were held back until now may be among the drained ones.
+        self._operator_drain.restore(record.drained)
+        self._targets.use_departures(record.departures, now_s=self._timers.read_now_s())
+        self._refuse_waiting()
 
     def _measure_load(self) -> None:
         targets = tuple(self._targets)
@@ -372,11 +383,10 @@
         return self._draining or self._operator_drain.covers(target.target)
 
     def _set_drain(self, message: SetDrain) -> bool:
-        if message.target is not None and self._targets.find(message.target) is None:
-            return False
+        # A target that isn't known yet, as after a restart, keeps to the drain once it is.
         self._operator_drain.set(message.target, draining=message.draining)
         self._refuse_waiting()
-        return True
+        return message.target is None or self._targets.find(message.target) is not None
 
     def _read_record(self) -> HostRecord | None:
         """Return the host's record, or None while targets may still have to announce themselves.
--- a/src/samphirespring/process/agent/agent_messages.py
+++ b/src/samphirespring/process/agent/agent_messages.py
@@ -26,7 +26,7 @@
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.mailbox import ReplySlot
 from samphirespring.process.states import TargetPhase
-from samphirespring.process.targets import HostRecord, TargetDeparture, TargetLoad
+from samphirespring.process.targets import HostRecord, LeaveRecord, TargetLoad
 from samphirespring.process.tasks import StateDump
 from samphirespring.request.ids import AttemptId
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
@@ -93,10 +93,10 @@
     """Whether the target was registered."""
 
 
-class UseDepartures(msgspec.Struct, frozen=True, kw_only=True):
-    """Delivers the departures that earlier processes of this host recorded."""
+class UseLeaveRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Delivers the departures and drains that are recorded from before this process started."""
 
-    departures: tuple[TargetDeparture, ...]
+    record: LeaveRecord
 
 
 class AdmitAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -205,7 +205,7 @@
 AgentMessage = (
     AnnounceTarget
     | WithdrawTarget
-    | UseDepartures
+    | UseLeaveRecord
     | AdmitAttempt
     | FinishAttempt
     | ListProbePlans
--- a/src/samphirespring/process/agent/departure_recorder.py
+++ b/src/samphirespring/process/agent/departure_recorder.py
@@ -6,7 +6,7 @@
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ReplySlot, ReplyT
-from samphirespring.process.targets import TargetDeparture
+from samphirespring.process.targets import LeaveRecord, TargetDeparture
 from samphirespring.process.timers import TimerService
 
 RECORD_TIMEOUT_S = 0.8
@@ -37,25 +37,26 @@
         """Whether departures outlive this process."""
         return self._store is not None
 
-    async def read(self) -> tuple[TargetDeparture, ...]:
-        """Return the departures that earlier processes recorded, once the store can be reached."""
+    async def read(self) -> LeaveRecord:
+        """Return what earlier processes recorded, once the store can be reached."""
         if self._store is None:
-            return ()
+            return LeaveRecord()
         started_at_s = self._timers.read_now_s()
         while True:
             try:
-                departures = await self._store.read()
+                record = await self._store.read()
                 break
             except SamphireError:
                 await self._timers.wait_for(READ_RETRY_S)
-        for departure in departures:
+        for departure in record.departures:
             self._remember(departure)
         _log.info(
             LogEvent.DEPARTURES_READ,
-            targets=[departure.target for departure in departures],
+            targets=[departure.target for departure in record.departures],
+            drained=record.drained,
             took_ms=round((self._timers.read_now_s() - started_at_s) * 1_000),
         )
-        return departures
+        return record
 
     def covers(self, departure: TargetDeparture) -> bool:
         """Return whether a departure of the same start of its target is recorded.
--- a/src/samphirespring/process/agent/departure_store.py
+++ b/src/samphirespring/process/agent/departure_store.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from samphirespring.process.errors import ErrorCode, SamphireError
-from samphirespring.process.targets import TargetDeparture
+from samphirespring.process.targets import LeaveRecord, TargetDeparture
 
 
 class DepartureUnrecordedError(SamphireError):
@@ -13,7 +13,7 @@
 
 
 class DepartureStore(ABC):
-    """Keeps the departures of one host's targets."""
+    """Keeps the departures of one host's targets, beside the drains that operators request."""
 
     @abstractmethod
     async def record(self, departure: TargetDeparture) -> None:
@@ -27,8 +27,8 @@
         """
 
     @abstractmethod
-    async def read(self) -> tuple[TargetDeparture, ...]:
-        """Return the latest departure of each target, also those of earlier processes.
+    async def read(self) -> LeaveRecord:
+        """Return the departures and drains, also those of earlier processes.
 
         Raises:
             SamphireError: The record can't be reached.
--- a/src/samphirespring/process/agent/operator_drain.py
+++ b/src/samphirespring/process/agent/operator_drain.py
@@ -1,4 +1,6 @@
-"""Records which targets of a host operators drain; kept in memory until the process ends."""
+"""Targets of a host that operators drain; the registry keeps them over restarts of the process."""
+
+from collections.abc import Iterable
 
 from samphirespring.process.ids import TargetId
 
@@ -9,6 +11,8 @@
     def __init__(self) -> None:
         self.whole_host = False
         self._targets: set[TargetId] = set()
+        self._requested: set[TargetId | None] = set()
+        """What operators drained, or ended the drain of, since this process started."""
 
     def set(self, target: TargetId | None, *, draining: bool) -> None:
         """Start or end a drain.
@@ -17,6 +21,20 @@
             target: The target; None means the whole host.
             draining: Whether the drain starts.
         """
+        self._requested.add(target)
+        self._apply(target, draining=draining)
+
+    def restore(self, drained: Iterable[TargetId | None]) -> None:
+        """Use the recorded drains, but for those that were changed since this process started.
+
+        Args:
+            drained: The targets; None means the whole host.
+        """
+        for target in drained:
+            if target not in self._requested:
+                self._apply(target, draining=True)
+
+    def _apply(self, target: TargetId | None, *, draining: bool) -> None:
         if target is None:
             self.whole_host = draining
         elif draining:
--- a/src/samphirespring/process/node_operations_client.py
+++ b/src/samphirespring/process/node_operations_client.py
@@ -15,6 +15,7 @@
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.ids import HostId, TargetId
 from samphirespring.process.paging import PageRequest
+from samphirespring.process.registry.commands import HostDrain
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.targets import HostRecord
 
@@ -50,7 +51,7 @@
         return (await self._registry.read_table()).hosts
 
     async def set_host_drain(self, host: HostId, *, draining: bool) -> None:
-        """Start or end the drain of all targets of a host.
+        """Start or end the drain of all targets of a host, which outlives the host's process.
 
         Args:
             host: The host.
@@ -58,13 +59,15 @@
 
         Raises:
             HostUnknownError: The host has no lease.
-            LinkUnavailableError: The host doesn't reply.
+            NotLeaderError: Another control host is the registry's leader.
+            LinkUnavailableError: The host doesn't reply; it follows once it starts again.
         """
         record = await self._find_host(host)
+        await self._record_drain(record, target=None, draining=draining)
         await self._call(record, DRAIN, DrainRequest(target=None, draining=draining))
 
     async def set_target_drain(self, target: TargetId, *, draining: bool) -> None:
-        """Start or end the drain of one target.
+        """Start or end the drain of one target, which outlives its host's process.
 
         Args:
             target: The target.
@@ -72,10 +75,12 @@
 
         Raises:
             TargetNotFoundError: No host announces the target.
-            LinkUnavailableError: The host doesn't reply.
+            NotLeaderError: Another control host is the registry's leader.
+            LinkUnavailableError: The host doesn't reply; it follows once it starts again.
         """
         for record in await self.list_hosts():
             if any(entry.target == target for entry in record.targets):
+                await self._record_drain(record, target=target, draining=draining)
                 request = DrainRequest(target=target, draining=draining)
                 receipt = await self._call(record, DRAIN, request)
                 if receipt.known:
@@ -96,6 +101,12 @@
         record = await self._find_host(host)
         return (await self._call(record, DUMP, DumpRequest(page=page))).text
 
+    async def _record_drain(
+        self, record: HostRecord, *, target: TargetId | None, draining: bool
+    ) -> None:
+        host = record.locality.host
+        await self._registry.record_drain(HostDrain(host=host, target=target, draining=draining))
+
     async def _find_host(self, host: HostId) -> HostRecord:
         for record in await self.list_hosts():
             if record.locality.host == host:
--- a/src/samphirespring/process/registry/commands.py
+++ b/src/samphirespring/process/registry/commands.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from samphirespring.process.ids import HostId, Incarnation, RegistryVersion
+from samphirespring.process.ids import HostId, Incarnation, RegistryVersion, TargetId
 from samphirespring.process.targets import HostRecord, TargetDeparture
 
 
@@ -21,12 +21,23 @@
     departure: TargetDeparture
 
 
+class HostDrain(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Start or end of a drain that an operator requested."""
+
+    host: HostId
+    target: TargetId | None
+    """The target; None means all targets of the host."""
+
+    draining: bool
+
+
 class ChangeHosts(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Changes of some hosts, applied together."""
 
     records: tuple[HostRecord, ...] = ()
     removals: tuple[HostRemoval, ...] = ()
     departures: tuple[HostDeparture, ...] = ()
+    drains: tuple[HostDrain, ...] = ()
 
 
 class HostsChanged(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -58,3 +69,5 @@
 
     entries: tuple[HostEntry, ...]
     departures: tuple[HostDeparture, ...] = ()
+    drains: tuple[HostDrain, ...] = ()
+    """The drains that haven't ended."""
--- a/src/samphirespring/process/registry/departure_client.py
+++ b/src/samphirespring/process/registry/departure_client.py
@@ -9,7 +9,7 @@
 from samphirespring.process.agent.departure_store import DepartureStore
 from samphirespring.process.control_client import ControlClient
 from samphirespring.process.ids import HostId
-from samphirespring.process.targets import TargetDeparture
+from samphirespring.process.targets import LeaveRecord, TargetDeparture
 
 CALL_TIMEOUT_S = 0.35
 """Timeout of one control host, in seconds; another one can still confirm a departure in time."""
@@ -32,8 +32,8 @@
         request = RecordDeparture(host=self._host, departure=departure)
         await self._control.call_leader(RECORD_DEPARTURE, request, timeout_s=CALL_TIMEOUT_S)
 
-    async def read(self) -> tuple[TargetDeparture, ...]:
-        """Return the latest departure of each target of the host."""
+    async def read(self) -> LeaveRecord:
+        """Return the latest departure of each target of the host, and the drained targets."""
         request = ReadDepartures(host=self._host)
         reply = await self._control.call_leader(READ_DEPARTURES, request, timeout_s=CALL_TIMEOUT_S)
-        return reply.departures
+        return LeaveRecord(departures=reply.departures, drained=reply.drained)
--- a/src/samphirespring/process/registry/state_machine.py
+++ b/src/samphirespring/process/registry/state_machine.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from samphirespring.process.ids import HostId, LogIndex, RegistryVersion
+from samphirespring.process.ids import HostId, LogIndex, RegistryVersion, TargetId
 from samphirespring.process.registry.commands import (
     ChangeHosts,
     HostEntry,
@@ -13,6 +13,7 @@
     RegistrySnapshot,
 )
 from samphirespring.process.registry.departure_table import DepartureTable
+from samphirespring.process.registry.drain_table import DrainTable
 from samphirespring.process.registry.versioned_hosts import REMOVAL_CAPACITY, VersionedHosts
 from samphirespring.process.replication.state_machine import StateMachine
 from samphirespring.process.targets import HostRecord, RegistryDelta, TargetDeparture
@@ -32,6 +33,7 @@
     def __init__(self, *, removal_capacity: int = REMOVAL_CAPACITY) -> None:
         self._hosts = VersionedHosts(removal_capacity=removal_capacity)
         self._departures = DepartureTable()
+        self._drains = DrainTable()
         self._hosts_by_address: dict[str, HostId] = {}
         """The present host at each link address."""
 
@@ -44,6 +46,8 @@
         """Apply the changes that are newer than the recorded state; drop the others."""
         for entry in command.departures:
             self._departures.record(entry)
+        for drain in command.drains:
+            self._drains.apply(drain)
         version = RegistryVersion(self._hosts.version + 1)
         changed = [host for record in command.records for host in self._put(record, version)]
         changed += [removal.host for removal in command.removals if self._remove(removal, version)]
@@ -55,13 +59,16 @@
     def capture_snapshot(self) -> RegistrySnapshot:
         """Return the whole registry."""
         return msgspec.structs.replace(
-            self._hosts.capture_snapshot(), departures=self._departures.capture()
+            self._hosts.capture_snapshot(),
+            departures=self._departures.capture(),
+            drains=self._drains.capture(),
         )
 
     def restore_snapshot(self, snapshot: RegistrySnapshot) -> None:
         """Replace the whole registry."""
         self._hosts.restore_snapshot(snapshot)
         self._departures.restore(snapshot.departures)
+        self._drains.restore(snapshot.drains)
         self._hosts_by_address = {
             entry.record.link_address: entry.host
             for entry in self._hosts.list_present()
@@ -84,6 +91,14 @@
         """
         return self._departures.list_host(host)
 
+    def list_drained(self, host: HostId) -> tuple[TargetId | None, ...]:
+        """Return the targets of a host that operators drain; None stands for all of them.
+
+        Args:
+            host: The host, which may be removed.
+        """
+        return self._drains.list_host(host)
+
     def list_present(self) -> tuple[HostEntry, ...]:
         """Return the entries of all present hosts."""
         return self._hosts.list_present()
--- a/src/samphirespring/process/registry_service.py
+++ b/src/samphirespring/process/registry_service.py
@@ -33,6 +33,7 @@
 from samphirespring.process.registry.commands import (
     ChangeHosts,
     HostDeparture,
+    HostDrain,
     HostEntry,
     HostRemoval,
     HostsChanged,
@@ -222,8 +223,20 @@
             return await self._redirect_to_leader(error)
         return DeparturesReply()
 
+    async def record_drain(self, drain: HostDrain) -> None:
+        """Commit the start or the end of a drain that an operator requested.
+
+        Args:
+            drain: The start or the end.
+
+        Raises:
+            NotLeaderError: Another control host is the registry's leader.
+            SamphireError: It isn't known to be committed.
+        """
+        await self._proposer.propose(ChangeHosts(drains=(drain,)))
+
     async def read_departures(self, request: ReadDepartures) -> DeparturesReply:
-        """Return the departures of a host's targets, as committed by a quorum.
+        """Return the departures and drains of a host's targets, as committed by a quorum.
 
         Args:
             request: The host.
@@ -235,10 +248,13 @@
             await self._proposer.confirm_leadership(by_heartbeat_round=True)
         except NotLeaderError as error:
             return await self._redirect_to_leader(error)
-        departures = await self._proposer.read(
-            lambda: self._state_machine.list_departures(request.host)
+        departures, drained = await self._proposer.read(
+            lambda: (
+                self._state_machine.list_departures(request.host),
+                self._state_machine.list_drained(request.host),
+            )
         )
-        return DeparturesReply(departures=departures)
+        return DeparturesReply(departures=departures, drained=drained)
 
     async def _redirect_to_leader(self, error: NotLeaderError) -> DeparturesReply:
         link = await self._find_leader_link(error)
--- a/src/samphirespring/process/targets.py
+++ b/src/samphirespring/process/targets.py
@@ -76,6 +76,18 @@
     """Announcements of this start with a lower number are outdated, and those of earlier starts."""
 
 
+class LeaveRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Targets of a host that are to get no work, as far as earlier processes of the host knew.
+
+    Attributes:
+        departures: The latest departure of each target.
+        drained: Targets that operators drain; None stands for all targets of the host.
+    """
+
+    departures: tuple[TargetDeparture, ...] = ()
+    drained: tuple[TargetId | None, ...] = ()
+
+
 class RegistryDelta(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Changes of the registry between two versions."""
 
--- a/tests/features/document_fleet.feature
+++ b/tests/features/document_fleet.feature
@@ -41,5 +41,6 @@
       | operators | history --section recipes                              | 0      |
       | recipes   | diff recipes --from 1 --to 2                           | 0      |
       | recipes   | put recipes {missing} --base 2                         | 2      |
-    And a drained target rejects requests until the drain ends
+    # A drain that ended with the node's process would put a target to use that operators took out.
+    And a drained target rejects requests until the drain ends, also after its node was killed
     And "samphirectl" without a reachable control host exits with 7
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -61,6 +61,21 @@
     And a heartbeat of "i-1" is received with state "ready", sequence 9 and start 1000
     Then the agent has no target in use
 
+  Scenario Outline: A restarted node keeps to the drains that operators requested before
+    Given a node that records departures, and operators drain <drained>
+    When the node starts, and reads that after operators end the drain of <ended>
+    And a heartbeat of "i-1" is received with state "ready", sequence 1 and start 1000
+    Then fronts are told that target "i-1" is "<phase>"
+
+    Examples:
+      | drained        | ended          | phase    |
+      | target "i-1"   | nothing        | draining |
+      | the whole host | nothing        | draining |
+      | target "i-2"   | nothing        | serving  |
+      | target "i-1"   | target "i-1"   | serving  |
+      | the whole host | the whole host | serving  |
+      | the whole host | target "i-1"   | draining |
+
   Scenario: A departure that isn't recorded isn't confirmed, and is in force all the same
     Given a node that records departures
     When a heartbeat of "i-1" is received with state "ready", sequence 3 and start 1000
--- a/tests/features/registry.feature
+++ b/tests/features/registry.feature
@@ -100,6 +100,19 @@
     When targets of 10,050 hosts leave, and then 40 targets of one more host
     Then the registry keeps the latest 16 of that host, and 10,000 hosts
 
+  # Guards against a drain that ends with the process of the drained host.
+  Scenario: Drains of operators are kept until they end, and over a snapshot
+    Given a registry service that records departures
+    When operators drain target "t" and all of host "h1", and target "u" whose drain ends again
+    And host "h1" is removed, and the registry is restored from its snapshot
+    Then a restarted node of host "h1" reads that "t" and the whole host are drained
+    And a restarted node of host "h2" reads no departure
+
+  Scenario: A drain is recorded by the registry's leader only
+    Given a registry service that records departures
+    When operators drain a target at a control host that isn't the leader
+    Then it is refused with "not_leader", and nothing is recorded
+
   Scenario: A departure is neither recorded nor read at a control host that isn't the leader
     Given a registry service that records departures
     When a departure is recorded and read while "b" is the leader
--- a/tests/features/steps/document_fleet_steps.py
+++ b/tests/features/steps/document_fleet_steps.py
@@ -260,16 +260,21 @@
         assert "Traceback" not in result.stderr, result.stderr
 
 
-@then("a drained target rejects requests until the drain ends")
+@then("a drained target rejects requests until the drain ends, also after its node was killed")
 def step_check_drain(context):
     node = context.fleet.example.folder / "node-alta-1.json"
 
     def read_phase():
         dump = read_dump(read_address(node, "local_listen"))
         phases = {t["target"]: t["load"][0] for t in dump["agent"]["targets"]}
-        return phases["orders-alta-1-1"]
+        return phases.get("orders-alta-1-1")
 
     assert read_phase() == "draining"
+    context.fleet.kill(node.stem)
+    context.fleet.start_node(node)
+    context.fleet.wait_until_serving()
+    # The target is back once it has announced itself again.
+    assert wait_until(read_phase) == "draining"
     result = run_ctl(
         list_operators(context), "operators", ["drain-target", "orders-alta-1-1", "--end"]
     )
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -22,7 +22,7 @@
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
 from samphirespring.platform.units import parse_seconds
 from samphirespring.process.agent.agent import Agent
-from samphirespring.process.agent.agent_messages import AnnounceTarget
+from samphirespring.process.agent.agent_messages import AnnounceTarget, SetDrain
 from samphirespring.process.agent.departure_store import DepartureStore
 from samphirespring.process.document.commands import ChangeSection, DocumentSnapshot
 from samphirespring.process.document.service import DocumentService
@@ -32,7 +32,7 @@
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.replication.state_machine import LocalProposer, NotLeaderError
 from samphirespring.process.states import TargetPhase
-from samphirespring.process.targets import Locality
+from samphirespring.process.targets import LeaveRecord, Locality
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.body import EMPTY_BODY
 from samphirespring.request.caller import ResponseMetadata
@@ -93,6 +93,7 @@
 
     def __init__(self):
         self.departures = {}
+        self.drained = ()
         self.is_reachable = True
 
     async def record(self, departure):
@@ -101,7 +102,7 @@
 
     async def read(self):
         self._check_reachable()
-        return tuple(self.departures.values())
+        return LeaveRecord(departures=tuple(self.departures.values()), drained=self.drained)
 
     def _check_reachable(self):
         if not self.is_reachable:
@@ -567,6 +568,41 @@
     context.agent = make_agent(context.departures)
 
 
+DRAINABLE = {'target "i-1"': "i-1", 'target "i-2"': "i-2", "the whole host": None}
+
+
+@given("a node that records departures, and operators drain {drained}")
+def step_drained_node(context, drained):
+    step_recording_node(context)
+    context.departures.drained = (DRAINABLE[drained],)
+
+
+@when("the node starts, and reads that after operators end the drain of {ended}")
+def step_end_drain(context, ended):
+    if ended == "nothing":
+        return
+    target = DRAINABLE[ended]
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(context.agent.run)
+            await ask(
+                context.agent.inbox,
+                lambda reply: SetDrain(target=target, draining=False, reply=reply),
+            )
+            group.cancel_scope.cancel()
+
+    context.departures.is_reachable = False
+    anyio.run(main)
+    context.departures.is_reachable = True
+
+
+@then('fronts are told that target "{target}" is "{phase}"')
+def step_check_reported_phase(context, target, phase):
+    phases = {entry.target: entry.load.phase.value for entry in context.agent_dump.targets}
+    assert phases == {target: phase}, phases
+
+
 @when("the node restarts")
 def step_restart_node(context):
     context.agent = make_agent(context.departures)
--- a/tests/features/steps/registry_steps.py
+++ b/tests/features/steps/registry_steps.py
@@ -28,6 +28,7 @@
 from samphirespring.process.registry.commands import (
     ChangeHosts,
     HostDeparture,
+    HostDrain,
     HostRemoval,
     RegistrySnapshot,
 )
@@ -759,6 +760,34 @@
     )
 
 
+def record_drains(context, *drains):
+    async def main():
+        for target, draining in drains:
+            drain = HostDrain(host="h1", target=target, draining=draining)
+            await context.registry.service.record_drain(drain)
+
+    anyio.run(main)
+
+
+@when('operators drain target "t" and all of host "h1", and target "u" whose drain ends again')
+def step_drain(context):
+    record_drains(context, ("t", True), ("u", True), (None, True), ("u", False), ("t", True))
+
+
+@when("operators drain a target at a control host that isn't the leader")
+def step_drain_at_follower(context):
+    context.registry.proposer.is_leader = False
+    try:
+        record_drains(context, ("t", True))
+    except SamphireError as error:
+        context.error = error
+
+
+@then('a restarted node of host "{host}" reads that "t" and the whole host are drained')
+def step_check_drained(context, host):
+    assert read_departures(context, host).drained == ("t", None)
+
+
 @when('host "h1" is removed, and the registry is restored from its snapshot')
 def step_remove_and_restore(context):
     state_machine = context.registry.state_machine
@@ -779,7 +808,7 @@
 
 @then('a restarted node of host "{host}" reads no departure')
 def step_check_no_departure(context, host):
-    assert read_departures(context, host).departures == ()
+    assert read_departures(context, host) == DeparturesReply()
 
 
 @when("targets of 10,050 hosts leave, and then {count:d} targets of one more host")
@@ -825,3 +854,4 @@
 def step_check_odd(context, code):
     assert context.error.code.value == code
     assert context.registry.state_machine.list_departures("h1") == ()
+    assert context.registry.state_machine.list_drained("h1") == ()
