--- a/tests/features/steps/one_way_steps.py
+++ b/tests/features/steps/one_way_steps.py
@@ -56,6 +56,7 @@
         self.threads = [
             threading.Thread(target=self.poll_fronts),
             threading.Thread(target=self.send_requests),
+            threading.Thread(target=self.send_bursts),
         ]
         for thread in self.threads:
             thread.start()
@@ -66,6 +67,15 @@
             thread.join()
 
     def send_requests(self):
+        number = 0
+        while not self.stop.wait(0.01):
+            number += 1
+            try:
+                send_request(self.readers[number % len(self.readers)], "GET", "/1", headers=READ)
+            except OSError:
+                continue
+
+    def send_bursts(self):
         number = 0
         with ThreadPoolExecutor(BURST_SIZE) as senders:
             while not self.stop.wait(BURST_INTERVAL_S):
