Log when the event loop of a process hardly waits

Change: programs run on an event loop whose selector measures its waits. A second with less than a tenth of waiting is logged with the number of turns, of turns with neither input nor wait, of input events, and the longest turn.

Measured: feature event_loop, three scenarios (callbacks that schedule each other, one long step, a wait).

Conclusion: the three hypotheses leave different lines.

--- a/src/samphirespring/process/runtime.py
+++ b/src/samphirespring/process/runtime.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from samphirespring.connection.listener import AddressUnavailableError
+from samphirespring.process.event_loop.watched_loop import make_backend_options
 from samphirespring.process.garbage_collection import freeze_loaded_objects
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
@@ -48,7 +49,7 @@
     """
     freeze_loaded_objects()
     try:
-        anyio.run(main)
+        anyio.run(main, backend_options=make_backend_options())
     except* AddressUnavailableError:
         # The address was already logged.
         sys.exit(ADDRESS_EXIT_STATUS)
--- /dev/null
+++ b/tests/features/event_loop.feature
@@ -0,0 +1,17 @@
+Feature: Load of the event loop
+  A process whose event loop never waits is either given too much work or keeps itself awake. The log tells which.
+
+  Scenario: A callback that schedules itself again at once is logged as idle turns
+    Given a program on a watched event loop
+    When a callback schedules itself again at once for 1.3 s
+    Then the log has a line "event_loop_busy" with more than 1000 idle turns and a longest turn below 500 ms
+
+  Scenario: A long step is logged as one long turn
+    Given a program on a watched event loop
+    When one step takes 1.3 s
+    Then the log has a line "event_loop_busy" with fewer than 10 idle turns and a longest turn above 1000 ms
+
+  Scenario: A program that waits logs nothing
+    Given a program on a watched event loop
+    When it waits for 1.3 s
+    Then the log has no line "event_loop_busy"
