Hand no empty part of a request to the event loop, which would never finish writing it

This is one way to get there, on Python 3.12 and later, which the README allows. Whether it is the users' case isn't known: there, all nodes would show it.

Cause: a request was written as head and body in one call of writelines, also when the body was empty. From Python 3.12 on, the loop's transport keeps an empty part in its buffer, which is never empty then, and writes it again in each turn for as long as the connection lasts. Class: work that comes again at once.

Change: empty parts are left out. Related paths: no other call of writelines in src, uvicorn or grpclib; the transport that joins writes drops empty ones.

Conclusion: a node that waits for a target stays at rest on all versions that the README names.

--- a/src/samphirespring/connection/upstream_connection.py
+++ b/src/samphirespring/connection/upstream_connection.py
@@ -91,7 +91,10 @@
         """
         if self._error is not None:
             raise self._error
-        cast(asyncio.Transport, self._transport).writelines(parts)
+        # From Python 3.12 on, the event loop tries to write an empty part again and again.
+        filled = [part for part in parts if part]
+        if filled:
+            cast(asyncio.Transport, self._transport).writelines(filled)
 
     async def drain(self) -> None:
         """Wait until the peer has read most of what was written."""
--- a/tests/features/responses.feature
+++ b/tests/features/responses.feature
@@ -107,3 +107,14 @@
     Given a target of which every tenth attempt fails by an unforeseen error
     When reads are sent to it for 5 s
     Then the other attempts are served, and all slots are free afterwards
+
+  # Guards against a node that never waits: from Python 3.12 on, the event loop goes on writing as long as an empty part is left.
+  Scenario Outline: A request without a body hands no empty part to the event loop
+    When <parts> are written to a connection
+    Then its transport gets the parts <passed_on>
+
+    Examples:
+      | parts             | passed_on  |
+      | a head and ""     | head       |
+      | a head and "body" | head, body |
+      | ""                | none       |
--- a/tests/features/steps/responses_steps.py
+++ b/tests/features/steps/responses_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import itertools
 from contextlib import suppress
 
@@ -12,6 +13,7 @@
     reset,
 )
 from front.stalling_pool import StallingPool
+from samphirespring.connection.upstream_connection import UpstreamConnection
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.request.body import BodyAbortedError, BodySource
 from samphirespring.version.states import DetectionMode
@@ -413,3 +415,38 @@
 def step_check_served(context):
     assert context.started > 50, context.started
     assert context.agent_dump.running == 0, context.agent_dump
+
+
+class RecordingTransport(asyncio.Transport):
+    """Keeps the parts that are written to it."""
+
+    def __init__(self):
+        super().__init__()
+        self.parts = []
+
+    def write(self, data):
+        self.parts.append(data)
+
+    def writelines(self, parts):
+        self.parts.extend(parts)
+
+
+WRITTEN_PARTS = {
+    'a head and ""': (b"head", b""),
+    'a head and "body"': (b"head", b"body"),
+    '""': (b"",),
+}
+
+
+@when("{parts} are written to a connection")
+def step_write_parts(context, parts):
+    context.transport = RecordingTransport()
+    connection = UpstreamConnection()
+    connection.connection_made(context.transport)
+    connection.write(*WRITTEN_PARTS[parts])
+
+
+@then("its transport gets the parts {passed_on}")
+def step_check_parts(context, passed_on):
+    expected = [] if passed_on == "none" else passed_on.split(", ")
+    assert [part.decode() for part in context.transport.parts] == expected, context.transport.parts
