Bound the evidence on a target that holds one attempt for long

Cause: attempts are kept as evidence in the order of their starts, and only the oldest could be folded into the base risk, once it had ended. A hanging attempt thus kept all later ones, and each admission and each end computes the risk over all of them. Class: a step that grows with the work since an event.

Change: beyond 32 attempts and as many as are in flight the oldest is folded in any case, one in flight by its silence so far. Its end counts as evidence of its own. The risk is the same within 0.01.

--- a/src/samphirespring/process/detection/fault_risk.py
+++ b/src/samphirespring/process/detection/fault_risk.py
@@ -17,7 +17,7 @@
 """Weight of a failure that took as long as a successful response."""
 
 MAX_EVIDENCE = 32
-"""Number of attempts of a target that are kept, in the order of their starts."""
+"""Number of a target's attempts that are kept beside as many as are in flight, by their starts."""
 
 INITIAL_FAILURE_LATENCY_S = 0.1
 """Mean time to a failure at a target in a fault before the first one is seen, in seconds."""
@@ -153,7 +153,7 @@
             evidence.ratio = self._model.weigh(failed=failed, as_slow_as_usual=as_slow_as_usual)
             if failed and not as_slow_as_usual:
                 self._learn_failure_latency(age_s)
-        self._drop_oldest()
+        self._drop_oldest(now_s)
 
     def read(self, now_s: float) -> float:
         """Return the current risk.
@@ -183,11 +183,16 @@
         change_s = LATENCY_LEARNING_RATE * (latency_s - self._failure_latency_s)
         self._failure_latency_s = max(MIN_FAILURE_LATENCY_S, self._failure_latency_s + change_s)
 
-    def _drop_oldest(self) -> None:
-        """Fold the oldest evidence into the base risk while there is too much of it."""
-        while len(self._evidence) > MAX_EVIDENCE and self._evidence[0].ratio is not None:
+    def _drop_oldest(self, now_s: float) -> None:
+        """Fold the oldest evidence into the base risk while there is too much of it.
+
+        An attempt that is still in flight counts by its silence so far, and its end as evidence of
+        its own: while a target holds one attempt for long, it may serve many others.
+        """
+        while len(self._evidence) > MAX_EVIDENCE + len(self._in_flight):
             oldest = self._evidence.pop(0)
-            self._base_risk = self._advance(
-                self._base_risk, self._base_at_s, oldest, oldest.began_at_s
-            )
+            self._base_risk = self._advance(self._base_risk, self._base_at_s, oldest, now_s)
             self._base_at_s = oldest.began_at_s
+            if oldest.ratio is None:
+                # The attempts in flight are in the order of their starts, too.
+                del self._in_flight[next(iter(self._in_flight))]
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -75,6 +75,35 @@
     assert least <= risk <= most, risk
 
 
+@when("it holds one attempt for {duration_s:d} s and serves {count:d} others meanwhile")
+def step_hold_attempt(context, duration_s, count):
+    model = FaultModel(share=0.3, span_s=2.7)
+    context.without_long = Suspicion(model, now_s=context.now_s)
+    context.suspicion.begin("long", now_s=context.now_s)
+    for number in range(count):
+        context.now_s += duration_s / count
+        for suspicion in (context.suspicion, context.without_long):
+            suspicion.begin(f"a{number}", now_s=context.now_s)
+            suspicion.end(f"a{number}", ObservedOutcome.OK, now_s=context.now_s)
+
+
+@then("it keeps the evidence of at most {count:d} attempts")
+def step_check_evidence(context, count):
+    kept = len(context.suspicion._risk._evidence)
+    assert kept <= count, kept
+
+
+@then("its risk is the same as without the long one, also once that has succeeded")
+def step_check_same_risk(context):
+    def read():
+        return [s.read(context.now_s) for s in (context.suspicion, context.without_long)]
+
+    before = read()
+    context.suspicion.end("long", ObservedOutcome.OK, now_s=context.now_s)
+    after = read()
+    assert abs(before[0] - before[1]) < 0.01 and abs(after[0] - after[1]) < 0.01, (before, after)
+
+
 def make_request(*, idempotent, max_risk, may_try=False):
     return make_attempt_message(
         attempt="a",
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -69,6 +69,13 @@
     Given 12 targets whose agents compute a risk of 0.2, and a front without recent reports
     Then an action is refused by at most 3 targets and runs on the fourth
 
+  # Guards against a node whose every step grows with the attempts since one that never ends.
+  Scenario: A target that holds one attempt for long keeps a bounded amount of evidence
+    Given a target of a service with 30 % of its targets in faults of 2.7 s
+    When it holds one attempt for 20 s and serves 4000 others meanwhile
+    Then it keeps the evidence of at most 64 attempts
+    And its risk is the same as without the long one, also once that has succeeded
+
   Scenario: Few requests fail while targets have short faults
     When 12 targets serve 3000 actions and 1500 reads while 30 % of them are in faults
     Then at most 8 % of the actions fail, and at most 2 % of the reads
