Ignore SIGHUP while a program is loaded

Cause: the settings of a process may change at any moment, and the handler of SIGHUP is set once the program runs.

Change: the programs of the platform ignore SIGHUP before they load anything else. The settings are read afterwards, so that no change is missed.

Conclusion: a signal of that kind no longer ends a process that starts.

--- a/src/samphirespring/platform/control.py
+++ b/src/samphirespring/platform/control.py
@@ -1,14 +1,18 @@
 """`samphire-control` with the platform's settings and protocols."""
 
-from samphirespring.platform.control_adapter import PlatformControlAdapter
-from samphirespring.platform.settings import (
+from samphirespring.process.early_signals import ignore_reload_requests
+
+ignore_reload_requests()  # Loading the rest takes a while.
+
+from samphirespring.platform.control_adapter import PlatformControlAdapter  # noqa: E402
+from samphirespring.platform.settings import (  # noqa: E402
     PlatformControlSettings,
     find_settings_file,
     watch_settings_file,
 )
-from samphirespring.process.composition.control import ControlHost
-from samphirespring.process.logs.logs import configure_logs
-from samphirespring.process.runtime import load_settings_or_exit, run_program
+from samphirespring.process.composition.control import ControlHost  # noqa: E402
+from samphirespring.process.logs.logs import configure_logs  # noqa: E402
+from samphirespring.process.runtime import load_settings_or_exit, run_program  # noqa: E402
 
 
 def main() -> None:
--- a/src/samphirespring/platform/node.py
+++ b/src/samphirespring/platform/node.py
@@ -1,14 +1,18 @@
 """`samphire-node` with the platform's settings and protocols."""
 
-from samphirespring.platform.node_adapter import PlatformNodeAdapter
-from samphirespring.platform.settings import (
+from samphirespring.process.early_signals import ignore_reload_requests
+
+ignore_reload_requests()  # Loading the rest takes a while.
+
+from samphirespring.platform.node_adapter import PlatformNodeAdapter  # noqa: E402
+from samphirespring.platform.settings import (  # noqa: E402
     PlatformNodeSettings,
     find_settings_file,
     watch_settings_file,
 )
-from samphirespring.process.composition.node import Node
-from samphirespring.process.logs.logs import configure_logs
-from samphirespring.process.runtime import load_settings_or_exit, run_program
+from samphirespring.process.composition.node import Node  # noqa: E402
+from samphirespring.process.logs.logs import configure_logs  # noqa: E402
+from samphirespring.process.runtime import load_settings_or_exit, run_program  # noqa: E402
 
 
 def main() -> None:
--- a/tests/features/program_start.feature
+++ b/tests/features/program_start.feature
@@ -14,3 +14,13 @@
   Scenario: Metrics are encoded by their library once a collector fetches them
     When "samphirespring.platform.node" is imported without the libraries that only operators' tools and tests use
     Then "prometheus_client" and "samphirespring.process.prometheus_text" aren't loaded
+
+  # Guards against processes that end by themselves because their settings change while they start.
+  Scenario Outline: A program that gets a SIGHUP while it is loaded goes on
+    When "<module>" gets a SIGHUP while it loads "msgspec", and has no settings
+    Then it ends by its missing settings, with status 2
+
+    Examples:
+      | module                          |
+      | samphirespring.platform.node    |
+      | samphirespring.platform.control |
--- a/tests/features/steps/program_start_steps.py
+++ b/tests/features/steps/program_start_steps.py
@@ -31,3 +31,27 @@
 @then('"{first}" and "{second}" aren\'t loaded')
 def step_check_absent(context, first, second):
     assert not {first, second} & set(context.modules)
+
+
+SIGNALLED_SCRIPT = """
+import os, runpy, signal, sys
+
+class Signaller:
+    def find_spec(self, name, path, target=None):
+        if name == {library!r}:
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Signaller())
+runpy.run_module({module!r}, run_name="__main__")
+"""
+
+
+@when('"{module}" gets a SIGHUP while it loads "{library}", and has no settings')
+def step_signal(context, module, library):
+    script = SIGNALLED_SCRIPT.format(module=module, library=library)
+    context.status = subprocess.run([sys.executable, "-c", script], capture_output=True).returncode
+
+
+@then("it ends by its missing settings, with status {status:d}")
+def step_check_status(context, status):
+    assert context.status == status, context.status
