Don't repeat a write of no bytes at once

Cause: log lines and log segments were written in a loop until nothing was left, and a descriptor that accepts no byte without an error kept the loop from ending. Class: work that comes again at once.

Test: feature event_loop, both new examples failed before (100 writes).

Change: a log line waits for the next one; a disk that writes no byte counts as failed.

Conclusion: both loops end; whether a descriptor does this in the field isn't known.

--- a/src/samphirespring/process/logs/log_sink.py
+++ b/src/samphirespring/process/logs/log_sink.py
@@ -49,4 +49,7 @@
                 # The reader has closed the pipe, so the failure can't be logged either.
                 self._pending.clear()
                 return
+            if count == 0:
+                # Some descriptors report a full buffer in this way.
+                return
             del self._pending[:count]
--- a/src/samphirespring/process/replication/disk.py
+++ b/src/samphirespring/process/replication/disk.py
@@ -215,6 +215,8 @@
             view = memoryview(data)
             while view:
                 count = os.write(self._descriptor, view)
+                if count == 0:
+                    raise DiskFailedError(f"{self._name}: no byte was written")
                 self._size_bytes += count
                 view = view[count:]
 
--- a/tests/features/event_loop.feature
+++ b/tests/features/event_loop.feature
@@ -15,3 +15,14 @@
     Given a program on a watched event loop
     When it waits for 1.3 s
     Then the log has no line "event_loop_busy"
+
+  # Guards against a process that tries the same write again and again without ever waiting.
+  Scenario Outline: A write of no bytes isn't repeated at once
+    Given a descriptor that accepts no byte
+    When <what> is written to it
+    Then at most 2 writes were tried
+
+    Examples:
+      | what           |
+      | a log line     |
+      | a disk's entry |
--- a/tests/features/steps/event_loop_steps.py
+++ b/tests/features/steps/event_loop_steps.py
@@ -2,7 +2,12 @@
 
 import asyncio
 import logging
+import os
+import tempfile
 import time
+from contextlib import suppress
+from pathlib import Path
+from unittest import mock
 
 import anyio
 import structlog
@@ -10,6 +15,9 @@
 from behave import given, then, when
 
 from samphirespring.process.event_loop.watched_loop import make_backend_options
+from samphirespring.process.logs.log_sink import LogSink
+from samphirespring.process.replication.disk import FolderDisk
+from samphirespring.process.replication.errors import DiskFailedError
 
 EVENT = "event_loop_busy"
 
@@ -92,3 +100,43 @@
 @then('the log has no line "{event}"')
 def step_no_line(context, event):
     assert context.lines == [], context.lines
+
+
+@given("a descriptor that accepts no byte")
+def step_no_byte(context):
+    context.tries = 0
+
+    def write(descriptor, data):
+        context.tries += 1
+        assert context.tries < 100, "the write is repeated without end"
+        return 0
+
+    patch = mock.patch.object(os, "write", write)
+    context.add_cleanup(patch.stop)
+    context.patch = patch
+
+
+@when("a log line is written to it")
+def step_write_line(context):
+    reading, writing = os.pipe()
+    context.add_cleanup(os.close, reading)
+    context.add_cleanup(os.close, writing)
+    sink = LogSink(writing)
+    context.patch.start()
+    sink.write("line\n")
+
+
+@when("a disk's entry is written to it")
+def step_write_entry(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    file = FolderDisk(Path(folder.name)).open_append("log")
+    context.add_cleanup(file.close)
+    context.patch.start()
+    with suppress(DiskFailedError):
+        file.write(b"entry")
+
+
+@then("at most {count:d} writes were tried")
+def step_check_tries(context, count):
+    assert context.tries <= count, context.tries
