Sync what a replica loads before it counts as durable

Cause: a process that is killed between a write of its log and the sync leaves bytes that only the page cache holds. Its successor loaded them, and acknowledged them to the leader as its own without a sync. A loss of power soon after takes them: a group may lose entries that a quorum had acknowledged. The same holds for a name whose folder wasn't synced. Class: state that is taken over from a predecessor as if it had the predecessor's guarantees.

Test: feature consensus, 'Entries that a process hadn't synced ...', failed before (entry 3 was gone).

Change: loading ends with a sync of the last segment and of the folder; earlier segments were synced before the next one began.

Conclusion: what a replica reports after a restart survives a loss of power.

--- a/src/samphirespring/process/replication/segments.py
+++ b/src/samphirespring/process/replication/segments.py
@@ -61,9 +61,12 @@
     def load(self) -> LoadedEntries:
         """Return the entries of all segments, after truncating an incomplete tail.
 
+        All that is returned is synced: a process that was killed between a write and its sync left
+        bytes that a loss of power would take.
+
         Raises:
             LogCorruptError: A segment is corrupt beyond an incomplete tail.
-            DiskFailedError: A file can't be read or truncated.
+            DiskFailedError: A file can't be read, truncated or synced.
         """
         self.close()
         self._segments.clear()
@@ -77,6 +80,9 @@
             cut_bytes = self._load_segment(number, entries, is_last=is_last)
         if numbers:
             self._next_number = numbers[-1] + 1
+            self._file = self._disk.open_append(self._make_name(numbers[-1]))
+            self._file.sync()
+        self._disk.sync_folder(self._folder)
         return LoadedEntries(entries=tuple(entries), cut_bytes=cut_bytes)
 
     def append(self, entries: Sequence[Entry]) -> None:
--- a/tests/features/consensus.feature
+++ b/tests/features/consensus.feature
@@ -83,3 +83,14 @@
   Scenario: A record header that a crash left incomplete is truncated, even with zeros after it
     When a record is followed by each beginning of a header and zeros up to 40 bytes
     Then the record is read and the rest is truncated
+
+  # Guards against a group that refuses changes for good after the disks of its hosts were full, never two at once.
+  Scenario: Disks that are full one after another leave the group able to commit
+    When the disk of each of 5 hosts is full for 3 s in turn, twice, in 20 groups under load
+    Then each group commits afterwards, and all its hosts have the same lines
+
+  # Guards against acknowledged entries that only the page cache of a killed process had held.
+  Scenario: Entries that a process hadn't synced when it was killed survive a loss of power once its successor has loaded them
+    Given a replica that was killed after it had written entry 3 and before it synced it
+    When its successor loads the log, and the host loses power
+    Then the entries that it had loaded are still there
--- a/tests/features/steps/consensus_steps.py
+++ b/tests/features/steps/consensus_steps.py
@@ -12,6 +12,7 @@
 from replication.consensus_machine import ConsensusMachine
 from replication.fake_disk import FakeDisk
 from replication.moving_machine import MovingMachine
+from replication.simulation import Simulation
 from samphirespring.process.ids import LogIndex, MemberId, ReplicaId, Term
 from samphirespring.process.replication.effects import Persist, Send
 from samphirespring.process.replication.entries import (
@@ -458,3 +459,67 @@
 @then("the replica requests no pre-vote before {time:f} s")
 def step_check_no_pre_vote(context, time):
     assert find_pre_vote_s(context, from_s=context.now_s, until_s=time - TICK_S) is None
+
+
+def run_under_load(simulation, duration_s):
+    for _ in range(int(duration_s / 0.2)):
+        simulation.propose(1)
+        simulation.run(0.2)
+
+
+def fill_disk(simulation, host):
+    host.disk.is_full = True
+    run_under_load(simulation, 3.0)
+    host.disk.is_full = False
+    run_under_load(simulation, 2.0)
+    if not host.is_up:
+        host.start(simulation.now_s)
+    run_under_load(simulation, 1.0)
+
+
+@when(
+    "the disk of each of {count:d} hosts is full for 3 s in turn, twice, in {groups:d} groups"
+    " under load"
+)
+def step_fill_disks(context, count, groups):
+    context.simulations = []
+    for seed in range(groups):
+        simulation = Simulation(count=count, seed=seed)
+        order = Random(seed).sample(simulation.hosts, count)
+        for host in (*order, *order):
+            fill_disk(simulation, host)
+        context.simulations.append(simulation)
+
+
+@then("each group commits afterwards, and all its hosts have the same lines")
+def step_check_after_full(context):
+    for simulation in context.simulations:
+        assert all(host.is_up for host in simulation.hosts)
+        simulation.check_recovery()
+        assert sum(host.quarantined_count for host in simulation.hosts) == 0
+
+
+@given("a replica that was killed after it had written entry {count:d} and before it synced it")
+def step_kill_before_sync(context, count):
+    context.disk = FakeDisk()
+    entries = make_entries(count, 2)
+    write_log(context.disk, entries[:-1])
+    storage = GroupStorage(disk=context.disk, folder=FOLDER)
+    storage.load()
+    context.disk.ignores_sync = True
+    storage.append(entries[-1:])
+    context.disk.ignores_sync = False
+
+
+@when("its successor loads the log, and the host loses power")
+def step_load_and_lose_power(context):
+    storage = GroupStorage(disk=context.disk, folder=FOLDER)
+    context.loaded = storage.load().log.last.index
+    for file in context.disk.names.values():
+        file.data = bytearray(file.synced)
+
+
+@then("the entries that it had loaded are still there")
+def step_check_still_there(context):
+    storage = GroupStorage(disk=context.disk, folder=FOLDER)
+    assert storage.load().log.last.index == context.loaded, context.loaded
--- a/tests/replication/fake_disk.py
+++ b/tests/replication/fake_disk.py
@@ -17,6 +17,8 @@
         self.names = {}
         self.synced_names = {}
         self.is_failed = False
+        self.is_full = False
+        """Whether a write puts only a part of its bytes, and new names and replacements fail."""
         self.ignores_sync = False
 
     def crash(self, random):
@@ -40,6 +42,11 @@
         if self.is_failed:
             raise DiskFailedError(f"{name}: no space left on device")
 
+    def check_space(self, name):
+        self.check(name)
+        if self.is_full:
+            raise DiskFailedError(f"{name}: no space left on device")
+
     def make_folder(self, name):
         self.check(name)
 
@@ -55,12 +62,14 @@
         return data[offset:] if size_bytes is None else data[offset : offset + size_bytes]
 
     def open_append(self, name):
+        if name not in self.names:
+            self.check_space(name)
         self.check(name)
         return _FakeAppendFile(self, name, self.names.setdefault(name, _File()))
 
     def replace(self, name, data):
         assert not name.endswith(TEMPORARY_SUFFIX)
-        self.check(name)
+        self.check_space(name)
         self.names[name] = self.synced_names[name] = _File(data)
 
     def truncate(self, name, size_bytes):
@@ -102,6 +111,9 @@
 
     def write(self, data):
         self._disk.check(self._name)
+        if self._disk.is_full:
+            self._file.data += data[: len(data) // 2]
+        self._disk.check_space(self._name)
         self._file.data += data
 
     def sync(self):
