--- a/tests/features/responses.feature
+++ b/tests/features/responses.feature
@@ -69,6 +69,18 @@
       | two different lengths               | reset                             |
       | a length and chunks                 | reset                             |
 
+  # Guards against a success with an empty or short body, made of a head that stopped in the middle.
+  Scenario Outline: A response that stops at any byte is never passed on as complete
+    When the connection ends by a <kind> after each byte of <response>
+    Then no attempt has a response, and none counts as not started
+
+    Examples:
+      | response                                | kind  |
+      | a head and a body with a length         | close |
+      | a head and a body with a length         | reset |
+      | a head and a chunked body               | close |
+      | the head before a body without a length | close |
+
   Scenario: A connection without a length that is reset isn't complete
     When a backend server sends a body without a length and resets the connection
     Then the result is cut
--- a/tests/features/steps/responses_steps.py
+++ b/tests/features/steps/responses_steps.py
@@ -450,3 +450,39 @@
 def step_check_parts(context, passed_on):
     expected = [] if passed_on == "none" else passed_on.split(", ")
     assert [part.decode() for part in context.transport.parts] == expected, context.transport.parts
+
+
+SEALED_HEAD = HEAD + b"X-Seal: s\r\nContent-Type: text/plain\r\n"
+STOPPED_RESPONSES = {
+    "a head and a body with a length": SEALED_HEAD + b"Content-Length: 5\r\n\r\nhello",
+    "a head and a chunked body": (
+        SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+    ),
+    "the head before a body without a length": SEALED_HEAD + b"\r\n",
+}
+
+
+@when("the connection ends by a {kind:w} after each byte of {response}")
+def step_stop_anywhere(context, kind, response):
+    data = STOPPED_RESPONSES[response]
+    lengths = itertools.count()
+    context.results = []
+
+    async def script(backend, stream, _):
+        await backend.send(stream, data[: next(lengths)])
+        if kind == "reset":
+            await anyio.sleep(0.001)  # The bytes arrive before the reset.
+            reset(stream)
+        await stream.aclose()
+
+    async def call(agent, backend):
+        for _ in range(len(data)):
+            context.results.append(await agent.exchange(backend))
+
+    run(context, script, call)
+
+
+@then("no attempt has a response, and none counts as not started")
+def step_check_stopped(context):
+    allowed = {FAILURE_KINDS["cut"], FAILURE_KINDS["reset"]}
+    assert set(context.results) <= allowed, context.results
