Tell a resend that reaches a node in its last moments that an earlier request may have run

Cause: a request that comes once a stopping node has ended the others was told not-run, which for an action with a key speaks for all requests with that key; only the ledger knows of those, and it wasn't asked.

Test: feature request_decisions, the example of an action with a key failed before (not-run).

Change: the check is made beside the dispatch, inside the context that accounts for earlier requests.

--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -168,6 +168,7 @@
         started_at_s = self._context.timers.read_now_s()
         end = "left"
         try:
+            self._check_running()
             with self._end_with_node() as scope:
                 await exchange.run()
                 end = "answered"
@@ -214,6 +215,8 @@
             retention_s=compiled.fleet.ledger_retention_s,
             writer=writer,
         )
+        with account_for_earlier_requests(keyed=True):
+            self._check_running()
         with self._end_with_node() as scope:
             await self._runner.serve(exchange)
         if scope.cancelled_caught:
@@ -221,11 +224,13 @@
                 "the node stopped while the action ran", outcome=Outcome.UNKNOWN
             )
 
+    def _check_running(self) -> None:
+        if self._has_ended:
+            raise NodeStoppingError("the node stops", retry_after_s=STOP_RETRY_AFTER_S)
+
     @contextmanager
     def _end_with_node(self) -> Iterator[anyio.CancelScope]:
         """Yield a scope that is cancelled when the node ends its requests."""
-        if self._has_ended:
-            raise NodeStoppingError("the node stops", retry_after_s=STOP_RETRY_AFTER_S)
         with anyio.CancelScope() as scope:
             self._request_scopes.add(scope)
             try:
--- a/tests/features/request_decisions.feature
+++ b/tests/features/request_decisions.feature
@@ -100,11 +100,18 @@
       | a read               | it waits after a failed attempt       | unknown |
       | an action            | it waits for the selection of a target | not-run |
 
-  Scenario: A request that comes after a stopping node has ended the others isn't started
-    When a node stops, and gets an action afterwards
-    Then it failed after 0 ms with "node_stopping" and outcome "not-run"
+  # An earlier request with the same key may have run, which only the ledger knows.
+  Scenario Outline: A request that comes after a stopping node has ended the others isn't started
+    When a node stops, and gets <request> afterwards
+    Then it failed after 0 ms with "node_stopping" and outcome "<outcome>"
     And no attempt was made
 
+    Examples:
+      | request              | outcome |
+      | a read               | not-run |
+      | an action            | not-run |
+      | an action with a key | unknown |
+
   Scenario Outline: Both responses of a hedged read arrive at the same time
     When 50 hedged reads receive two "<kind>" responses at the same time
     Then each caller received the complete response of one attempt
--- a/tests/features/steps/request_decisions_steps.py
+++ b/tests/features/steps/request_decisions_steps.py
@@ -771,9 +771,9 @@
     yield
 
 
-@when("a node stops, and gets an action afterwards")
-def step_stop_before_request(context):
-    context.fleet, key = make_stopping_fleet("an action", [])
+@when("a node stops, and gets {request} afterwards")
+def step_stop_before_request(context, request):
+    context.fleet, key = make_stopping_fleet(request, [])
 
     async def main():
         context.fleet.front.inbox.post(EndRequests(at_s=context.fleet.timers.read_now_s()))
