Give the requests that end with a node, and the calls that a link opens, a place of their own

Front ends requests through EndingRequests; open_duplex and open_upload share one way to open a call; the meter of the event loop adds up in a window.

--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -225,11 +225,8 @@
         call = grpclib.client.StreamStreamMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
-        with _convert_errors(self.address):
-            async with call.open() as stream:
-                with anyio.fail_after(self._open_timeout_s):
-                    await stream.send_request()
-                yield Duplex(stream, self.address)
+        async with self._open_call(call, timeout_s=self._open_timeout_s) as stream:
+            yield Duplex(stream, self.address)
 
     @asynccontextmanager
     async def open_upload(
@@ -247,11 +244,22 @@
         call = grpclib.client.StreamUnaryMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
+        async with self._open_call(call, timeout_s=timeout_s) as stream:
+            yield Upload(stream, self.address)
+
+    @asynccontextmanager
+    async def _open_call(
+        self,
+        call: "grpclib.client.ServiceMethod[RequestT, ReplyT]",
+        *,
+        timeout_s: float,
+    ) -> "AsyncIterator[grpclib.client.Stream[RequestT, ReplyT]]":
+        """Yield the stream of a call after its headers were sent; leaving resets it."""
         with _convert_errors(self.address):
             async with call.open() as stream:
                 with anyio.fail_after(timeout_s):
                     await stream.send_request()
-                yield Upload(stream, self.address)
+                yield stream
 
 
 class Duplex(Generic[RequestT, ReplyT]):
--- a/src/samphirespring/process/event_loop/loop_load.py
+++ b/src/samphirespring/process/event_loop/loop_load.py
@@ -46,12 +46,7 @@
 
     def __init__(self, *, now_s: float) -> None:
         self._turn_began_at_s = now_s
-        self._window_began_at_s = now_s
-        self._waited_s = 0.0
-        self._turns = 0
-        self._idle_turns = 0
-        self._events = 0
-        self._longest_turn_s = 0.0
+        self._window = _Window(began_at_s=now_s)
 
     def record_look(
         self, *, began_at_s: float, ended_at_s: float, may_wait: bool, events: int
@@ -67,33 +62,36 @@
         Returns:
             The load, if this look ended a window.
         """
-        self._turns += 1
-        self._events += events
-        self._idle_turns += not may_wait and events == 0
+        window = self._window
+        window.turns += 1
+        window.events += events
+        window.idle_turns += not may_wait and events == 0
         if may_wait:
-            self._waited_s += ended_at_s - began_at_s
-        self._longest_turn_s = max(self._longest_turn_s, began_at_s - self._turn_began_at_s)
+            window.waited_s += ended_at_s - began_at_s
+        window.longest_turn_s = max(window.longest_turn_s, began_at_s - self._turn_began_at_s)
         self._turn_began_at_s = ended_at_s
-        if ended_at_s < self._window_began_at_s + WINDOW_S:
+        if ended_at_s < window.began_at_s + WINDOW_S:
             return None
-        load = self._make_load(ended_at_s)
-        self._begin_window(ended_at_s)
-        return load
+        self._window = _Window(began_at_s=ended_at_s)
+        return window.make_load(ended_at_s)
 
-    def _make_load(self, now_s: float) -> LoopLoad:
+
+class _Window(msgspec.Struct, kw_only=True):
+    """What was added up since the beginning of a window; the fields are those of `LoopLoad`."""
+
+    began_at_s: float
+    waited_s: float = 0.0
+    turns: int = 0
+    idle_turns: int = 0
+    events: int = 0
+    longest_turn_s: float = 0.0
+
+    def make_load(self, now_s: float) -> LoopLoad:
         return LoopLoad(
-            duration_s=now_s - self._window_began_at_s,
-            waited_s=self._waited_s,
-            turns=self._turns,
-            idle_turns=self._idle_turns,
-            events=self._events,
-            longest_turn_s=self._longest_turn_s,
+            duration_s=now_s - self.began_at_s,
+            waited_s=self.waited_s,
+            turns=self.turns,
+            idle_turns=self.idle_turns,
+            events=self.events,
+            longest_turn_s=self.longest_turn_s,
         )
-
-    def _begin_window(self, now_s: float) -> None:
-        self._window_began_at_s = now_s
-        self._waited_s = 0.0
-        self._turns = 0
-        self._idle_turns = 0
-        self._events = 0
-        self._longest_turn_s = 0.0
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from samphirespring.process.action_runner import ActionRunner
+from samphirespring.process.ending_requests import EndingRequests
 from samphirespring.process.logs.request_log import RequestLog
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.metrics.metric_names import Counter, Timing
@@ -29,7 +30,7 @@
     RequestError,
     RequestTimeoutError,
 )
-from samphirespring.request.exchange import STOP_RETRY_AFTER_S, Exchange
+from samphirespring.request.exchange import Exchange
 from samphirespring.request.limits import find_limits
 from samphirespring.request.split import SplitSequence
 from samphirespring.request.states import Outcome
@@ -93,9 +94,7 @@
         self._splits = SplitSequence(context.generator)
         self._in_flight = 0
         self._served = 0
-        self._request_scopes: set[anyio.CancelScope] = set()
-        self._has_ended = False
-        """Whether all requests were ended."""
+        self._requests = EndingRequests()
 
     @property
     def name(self) -> str:
@@ -168,8 +167,8 @@
         started_at_s = self._context.timers.read_now_s()
         end = "left"
         try:
-            self._check_running()
-            with self._end_with_node() as scope:
+            self._requests.check_open()
+            with self._requests.track() as scope:
                 await exchange.run()
                 end = "answered"
             if scope.cancelled_caught:
@@ -216,33 +215,17 @@
             writer=writer,
         )
         with account_for_earlier_requests(keyed=True):
-            self._check_running()
-        with self._end_with_node() as scope:
+            self._requests.check_open()
+        with self._requests.track() as scope:
             await self._runner.serve(exchange)
         if scope.cancelled_caught:
             raise NodeStoppingError(
                 "the node stopped while the action ran", outcome=Outcome.UNKNOWN
             )
 
-    def _check_running(self) -> None:
-        if self._has_ended:
-            raise NodeStoppingError("the node stops", retry_after_s=STOP_RETRY_AFTER_S)
-
-    @contextmanager
-    def _end_with_node(self) -> Iterator[anyio.CancelScope]:
-        """Yield a scope that is cancelled when the node ends its requests."""
-        with anyio.CancelScope() as scope:
-            self._request_scopes.add(scope)
-            try:
-                yield scope
-            finally:
-                self._request_scopes.discard(scope)
-
     async def _end_requests(self, at_s: float) -> None:
         await self._context.timers.wait_until(at_s)
-        self._has_ended = True
-        for scope in self._request_scopes:
-            scope.cancel()
+        self._requests.end_all()
 
     async def _check_limits(
         self, request: CallerRequest, route: Route, compiled: CompiledDocument
