--- a/tests/benchmarks/decisions.py
+++ b/tests/benchmarks/decisions.py
@@ -87,7 +87,7 @@
         now_s = number * 1e-3
         tiers = pool.list_choices(region_hosts=REGION_HOSTS, subset_size=20, now_s=now_s)
         candidate = selector.choose(tiers, tried=())
-        pool.acquire(candidate.target)
+        pool.acquire(candidate.target, now_s=now_s)
         pool.update_load(candidate.target, LOAD, now_s=now_s)
         pool.release(candidate.target)
 
--- a/tests/features/steps/selection_steps.py
+++ b/tests/features/steps/selection_steps.py
@@ -144,7 +144,7 @@
 def select(context, now_s):
     tiers = context.pool.list_choices(region_hosts={"h0"}, subset_size=SUBSET, now_s=now_s)
     candidate = context.selector.choose(tiers, tried=())
-    context.pool.acquire(candidate.target)
+    context.pool.acquire(candidate.target, now_s=now_s)
     return candidate.target
 
 
