--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -15,6 +15,7 @@
     CALLERS_DRAINED = "callers_drained"
     HOST_DRAINED = "host_drained"
     LISTEN_FAILED = "listen_failed"
+    DESCRIPTORS_EXHAUSTED = "descriptors_exhausted"
     EVENT_LOOP_BUSY = "event_loop_busy"
     SETTINGS_RELOADED = "settings_reloaded"
     SETTINGS_RELOAD_FAILED = "settings_reload_failed"
--- /dev/null
+++ b/tests/features/accepting.feature
@@ -0,0 +1,16 @@
+Feature: Accepting connections without free descriptors
+  A process that has used up its descriptors can't accept more connections. It has to wait for free ones, and to serve what it has accepted.
+
+  # Guards against a listener that fails, reports and restarts itself ever more often until descriptors are free.
+  Scenario Outline: A server without free descriptors waits for some
+    Given a server for <kind> in a process that has 5 descriptors left
+    When 40 connections are opened and 3.5 s pass
+    Then at most 8 tries to accept a connection failed
+    And the log has between 1 and 8 lines "descriptors_exhausted"
+    And the process used less than 0.5 s of processor time
+    And within 3 s after the connections are closed a new one is accepted
+
+    Examples:
+      | kind     |
+      | requests |
+      | links    |
