Wait before a source is asked again that brought no version

Cause: the follower of the document asked again without a pause when the fetch of a newer version failed, or brought none; the watch for notices did when a notice told of no newer version. Nothing but the other side bounded the rate. Class: a loop that can come again at once.

The follower waits 0.2 s after a round without progress, the watch 0.25 s.

--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -61,6 +61,9 @@
 The delay after a failure of all sources is jittered by up to half.
 """
 
+NO_PROGRESS_DELAY_S = 0.2
+"""Delay after a round that brought no version, in seconds: sources may answer at once."""
+
 _log = EventLog()
 
 
@@ -164,6 +167,7 @@
             _log.error(LogEvent.DOCUMENT_FILE_INVALID, detail=error.detail)
 
     async def _follow_once(self) -> None:
+        stamp_before = self._sections.stamp
         peers: tuple[Peer, ...] = await ask(
             self._table, lambda reply: ReadPeers(domain=self._domain, reply=reply)
         )
@@ -172,8 +176,11 @@
         if received is None:
             self._metrics.count(Counter.DOCUMENT_SOURCES_FAILED)
             await self._timers.wait_for(RETRY_DELAY_S * (0.5 + self._random.random()))
-        elif received.notice.stamp > self._sections.stamp:
+            return
+        if received.notice.stamp > self._sections.stamp:
             await self._fetch(received.address)
+        if self._sections.stamp == stamp_before:
+            await self._timers.wait_for(NO_PROGRESS_DELAY_S)
 
     async def _follow_hints(self) -> None:
         """Fetch hinted versions from the control hosts if the sources don't deliver them."""
--- a/src/samphirespring/process/document/notice_watch.py
+++ b/src/samphirespring/process/document/notice_watch.py
@@ -30,7 +30,7 @@
 """Time for which a failed control host is watched only if no other is free, in seconds."""
 
 RETRY_DELAY_S = 0.25
-"""Delay before the next control host is tried after a failure, in seconds."""
+"""Delay after a failure, or a notice of no newer version, before the next request, in seconds."""
 
 _log = EventLog()
 
@@ -94,9 +94,9 @@
         while True:
             address = self._choose()
             notice = None if address is None else await self._watch(address)
-            if address is None or notice is None:
+            if address is None or notice is None or notice.stamp <= self._stamp:
                 await self._timers.wait_for(RETRY_DELAY_S)
-            elif notice.stamp > self._stamp:
+            else:
                 self._stamp = notice.stamp
                 self._hints.post(VersionHint(notice.stamp, address))
 
--- a/tests/features/document_distribution.feature
+++ b/tests/features/document_distribution.feature
@@ -29,3 +29,15 @@
     Given a failure domain of 3 nodes under one control host
     When the control host stops and a node starts with a peer in its settings
     Then the new node has the last version
+
+  # Guards against a node that asks without a pause while each answer comes at once and brings nothing.
+  Scenario Outline: A node waits before it asks a control host again that brought nothing
+    Given a control host that <answers>
+    When a node follows it for 2 s
+    Then the control host was asked for notices at most 30 times and for deltas at most 30 times
+
+    Examples:
+      | answers                                              |
+      | tells of a version at once but can't send it         |
+      | tells of a version at once but sends an older one    |
+      | answers at once that there is no newer version       |
--- a/tests/features/steps/document_distribution_steps.py
+++ b/tests/features/steps/document_distribution_steps.py
@@ -13,14 +13,22 @@
     make_peers,
 )
 from document.samples import make_change, make_state_machine, make_team_section
-from samphirespring.connection.link_server import serve_link
+from samphirespring.connection.document_link import (
+    FETCH_DELTA,
+    WATCH_DOCUMENT,
+    DocumentNotice,
+)
+from samphirespring.connection.link_server import UnaryHandler, serve_link
 from samphirespring.process.document.relay_tree import choose_sources
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.document.version_hint import VersionHint
+from samphirespring.process.errors import InternalError
 from samphirespring.process.ids import LogIndex
 from samphirespring.process.mailbox import Mailbox
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.timers import MonotonicTimerService
+from samphirespring.version.section_set import SectionSet
+from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
 CONTROL_PORT = 20_930 + int(os.environ.get("SAMPHIRE_PORT_OFFSET", "0"))
 CONTROL = f"{HOST}:{CONTROL_PORT}"
@@ -277,3 +285,63 @@
 @then("the node has the version from another control host within {limit_s:g} s")
 def step_check_fetched(context, limit_s):
     assert context.fetch_duration_s <= limit_s, context.fetch_duration_s
+
+
+class HastyControlHost:
+    """Control host that answers all requests at once, without a version that a node could use."""
+
+    def __init__(self, *, stamp, can_send):
+        self.stamp = stamp
+        self.can_send = can_send
+        self.watch_count = 0
+        self.fetch_count = 0
+
+    async def watch(self, request):
+        self.watch_count += 1
+        return DocumentNotice(stamp=self.stamp, age_s=0.0)
+
+    async def fetch(self, request):
+        self.fetch_count += 1
+        if not self.can_send:
+            raise InternalError("the version can't be read")
+        return SectionSet().make_delta(request.known)
+
+
+NEWER_STAMP = DocumentStamp(generation=1, version=5)
+HASTY_HOSTS = {
+    "tells of a version at once but can't send it": (NEWER_STAMP, False),
+    "tells of a version at once but sends an older one": (NEWER_STAMP, True),
+    "answers at once that there is no newer version": (NO_STAMP, True),
+}
+
+
+@given("a control host that {answers}")
+def step_hasty_control(context, answers):
+    stamp, can_send = HASTY_HOSTS[answers]
+    context.control = HastyControlHost(stamp=stamp, can_send=can_send)
+
+
+@when("a node follows it for {duration_s:g} s")
+def step_follow(context, duration_s):
+    handlers = [
+        UnaryHandler(WATCH_DOCUMENT, context.control.watch),
+        UnaryHandler(FETCH_DELTA, context.control.fetch),
+    ]
+    peers = make_peers(1, first_port=CONTROL_PORT + 1)
+
+    async def main():
+        front = Mailbox(name="front", capacity=100)
+        node = DistributionNode(peers[0], peers, control=[CONTROL], front=front)
+        async with serve_link(handlers, address=CONTROL), node.run():
+            await anyio.sleep(duration_s)
+
+    anyio.run(main)
+
+
+@then(
+    "the control host was asked for notices at most {notices:d} times"
+    " and for deltas at most {deltas:d} times"
+)
+def step_count_requests(context, notices, deltas):
+    counts = (context.control.watch_count, context.control.fetch_count)
+    assert 0 < counts[0] <= notices and counts[1] <= deltas, counts
