Give one tick when a timer fires a rounding error early

Cause: a subscription whose wait ended before its time, by less than the resolution of the event loop's clock, computed -1 missed ticks, so that the same tick was due again at once until the clock had moved on. Class: wake-ups that come again at once.

Evidence: feature timers, waits that end 0.1 ns early: three ticks at one moment before, at least 0.9 s apart now.

--- a/src/samphirespring/process/timers.py
+++ b/src/samphirespring/process/timers.py
@@ -86,7 +86,9 @@
             await self._timers.wait_until(due_at_s)
             now_s = self._timers.read_now_s()
             yield Tick(now_s=now_s)
-            missed_count = math.floor((self._timers.read_now_s() - due_at_s) / self._interval_s)
+            # A timer may fire a rounding error before its time.
+            late_s = max(0.0, self._timers.read_now_s() - due_at_s)
+            missed_count = math.floor(late_s / self._interval_s)
             due_at_s += (missed_count + 1) * self._interval_s
 
 
--- a/tests/features/steps/timers_steps.py
+++ b/tests/features/steps/timers_steps.py
@@ -1,4 +1,7 @@
+from itertools import pairwise
+
 import anyio
+import anyio.lowlevel
 from behave import given, then, when
 
 from samphirespring.process.errors import InternalError, SamphireError
@@ -38,6 +41,46 @@
     assert [tick.now_s for tick in context.ticks] == [now] * count, context.ticks
 
 
+class EarlyTimerService(ManualTimerService):
+    """Timer service whose time moves with each wait, and whose waits end early.
+
+    Args:
+        early_s: How much earlier a wait ends than it should, in seconds.
+    """
+
+    def __init__(self, *, early_s):
+        super().__init__()
+        self._early_s = early_s
+
+    async def wait_until(self, due_at_s):
+        await anyio.lowlevel.checkpoint()
+        self.advance(max(0.0, due_at_s - self._early_s - self.read_now_s()))
+
+
+@given("a timer service whose waits end {early_ns:f} ns early")
+def step_make_early_timers(context, early_ns):
+    context.timers = EarlyTimerService(early_s=early_ns * 1e-9)
+
+
+@when("a task receives {count:d} ticks at an interval of {interval:f} s")
+def step_receive_ticks(context, count, interval):
+    context.ticks = []
+
+    async def main():
+        async for tick in context.timers.subscribe(interval_s=interval):
+            context.ticks.append(tick.now_s)
+            if len(context.ticks) == count:
+                return
+
+    anyio.run(main)
+
+
+@then("the ticks are at least {least:f} s apart")
+def step_check_apart(context, least):
+    gaps = [later - earlier for earlier, later in pairwise(context.ticks)]
+    assert min(gaps) >= least, context.ticks
+
+
 @given("an inbox that holds {capacity:d} messages")
 def step_make_inbox(context, capacity):
     context.capacity = capacity
--- a/tests/features/timers.feature
+++ b/tests/features/timers.feature
@@ -6,6 +6,12 @@
     When a task subscribes with an interval of 1.0 s and the time advances by 5.0 s at once
     Then the task has received 1 tick at 5.0 s
 
+  # Guards against ticks that follow each other without a pause until the clock has moved on.
+  Scenario: A timer that fires a rounding error early gives one tick
+    Given a timer service whose waits end 0.1 ns early
+    When a task receives 3 ticks at an interval of 1.0 s
+    Then the ticks are at least 0.9 s apart
+
   Scenario: A full inbox rejects a message
     Given an inbox that holds 2 messages
     When 3 messages are posted
