Write the stack of a step that keeps the event loop from running for 10 s

Change: the programs renew a limit of 10 s every 2 s; when it passes, a thread of the interpreter writes the stacks of all threads to standard error, once. Feature event_loop: the stack of a step of 1 s with a limit of 0.3 s is there before the step ends; a program that waits writes none.

--- a/src/samphirespring/process/runtime.py
+++ b/src/samphirespring/process/runtime.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from samphirespring.connection.listener import AddressUnavailableError
+from samphirespring.process.event_loop.step_watch import watch_steps
 from samphirespring.process.event_loop.watched_loop import make_backend_options
 from samphirespring.process.garbage_collection import freeze_loaded_objects
 from samphirespring.process.logs.event_log import EventLog
@@ -21,6 +22,7 @@
     load_settings,
 )
 from samphirespring.process.tasks import OwnerTask
+from samphirespring.process.timers import MonotonicTimerService
 
 ADDRESS_EXIT_STATUS = 3
 """Exit status of a program that can't listen on an address of its settings."""
@@ -49,12 +51,17 @@
     """
     freeze_loaded_objects()
     try:
-        anyio.run(main, backend_options=make_backend_options())
+        anyio.run(_run_watched, main, backend_options=make_backend_options())
     except* AddressUnavailableError:
         # The address was already logged.
         sys.exit(ADDRESS_EXIT_STATUS)
 
 
+async def _run_watched(main: Callable[[], Awaitable[None]]) -> None:
+    async with watch_steps(timers=MonotonicTimerService()):
+        await main()
+
+
 @asynccontextmanager
 async def run_tasks(tasks: Sequence[OwnerTask]) -> AsyncIterator[TaskGroup]:
     """Run tasks while the context is open, and cancel them when it ends.
--- a/tests/features/event_loop.feature
+++ b/tests/features/event_loop.feature
@@ -16,6 +16,17 @@
     When it waits for 1.3 s
     Then the log has no line "event_loop_busy"
 
+  # A step that never ends lets the event loop log nothing.
+  Scenario: The stack of a step that takes too long is written while it runs
+    Given a program whose steps may take 0.3 s
+    When one of its steps takes 1.0 s
+    Then the stack names the step's function before the step has ended
+
+  Scenario: A program whose steps are short writes no stack
+    Given a program whose steps may take 0.3 s
+    When it only waits for 1.0 s
+    Then no stack is written
+
   # Guards against a process that tries the same write again and again without ever waiting.
   Scenario Outline: A write of no bytes isn't repeated at once
     Given a descriptor that accepts no byte
--- a/tests/features/steps/event_loop_steps.py
+++ b/tests/features/steps/event_loop_steps.py
@@ -14,10 +14,12 @@
 import structlog.testing
 from behave import given, then, when
 
+from samphirespring.process.event_loop.step_watch import watch_steps
 from samphirespring.process.event_loop.watched_loop import make_backend_options
 from samphirespring.process.logs.log_sink import LogSink
 from samphirespring.process.replication.disk import FolderDisk
 from samphirespring.process.replication.errors import DiskFailedError
+from samphirespring.process.timers import MonotonicTimerService
 
 EVENT = "event_loop_busy"
 
@@ -102,6 +104,58 @@
     assert context.lines == [], context.lines
 
 
+def _run_with_step_watch(context, step):
+    async def main(file):
+        timers = MonotonicTimerService()
+        async with watch_steps(timers=timers, limit_s=context.limit_s, interval_s=0.05, file=file):
+            # The limit holds from its first renewal on.
+            await anyio.sleep(0.1)
+            await step(file)
+
+    with tempfile.TemporaryFile("w+") as file:
+        anyio.run(main, file)
+
+
+def _read_stack(file):
+    file.seek(0)
+    return file.read()
+
+
+@given("a program whose steps may take {limit_s:g} s")
+def step_limited_program(context, limit_s):
+    context.limit_s = limit_s
+
+
+@when("one of its steps takes {duration:g} s")
+def step_long_step(context, duration):
+    async def compute(file):
+        ends_at_s = time.monotonic() + duration
+        while time.monotonic() < ends_at_s:
+            pass
+        context.stack = _read_stack(file)
+
+    _run_with_step_watch(context, compute)
+
+
+@when("it only waits for {duration:g} s")
+def step_short_steps(context, duration):
+    async def wait(file):
+        await anyio.sleep(duration)
+        context.stack = _read_stack(file)
+
+    _run_with_step_watch(context, wait)
+
+
+@then("the stack names the step's function before the step has ended")
+def step_check_stack(context):
+    assert "in compute" in context.stack, context.stack
+
+
+@then("no stack is written")
+def step_check_no_stack(context):
+    assert context.stack == "", context.stack
+
+
 @given("a descriptor that accepts no byte")
 def step_no_byte(context):
     context.tries = 0
