Let scenarios of scheduling that don't check the time limit wait longer for a reply

What they check is how the host shares its targets, not the limit.

Those that check the limit use the one of the product; every check is as it was.

--- a/src/samphirespring/process/scheduled_targets.py
+++ b/src/samphirespring/process/scheduled_targets.py
@@ -81,6 +81,7 @@
         find_channel: Returns the channel to an address.
         locality: Locality of this process.
         timers: The timer service.
+        reply_timeout_s: Longest wait for a scheduler, in seconds.
     """
 
     def __init__(
@@ -91,12 +92,14 @@
         find_channel: Callable[[str], AttemptChannel],
         locality: Locality,
         timers: TimerService,
+        reply_timeout_s: float = REPLY_TIMEOUT_S,
     ) -> None:
         self._local = local
         self._table = table
         self._find_channel = find_channel
         self._locality = locality
         self._timers = timers
+        self._reply_timeout_s = reply_timeout_s
         self._choices: dict[ServiceName, _SchedulerChoice] = {}
 
     @asynccontextmanager
@@ -118,7 +121,7 @@
         """Return the scheduler's selection, or None without a reply in time or a target."""
         channel = self._find_channel(peer.link_address)
         try:
-            with anyio.fail_after(REPLY_TIMEOUT_S):
+            with anyio.fail_after(self._reply_timeout_s):
                 selection = await stack.enter_async_context(
                     channel.select(terms, locality=self._locality)
                 )
