Judge the outcome of a stopped and of an expired request by one rule

The two builders of errors judged by different state: at a deadline only by open attempts, which the caller corrected by what had run before.

--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -271,28 +271,34 @@
     def make_stop_error(self) -> RequestError:
         """Return the error for a request that is cancelled because the node stops."""
         if self._response.owner is not None:
-            error: RequestError = ResponseCutError(
-                "the node stopped before the response was complete", outcome=Outcome.UNKNOWN
-            )
-        elif self._open_attempts or self._may_have_run:
-            error = NodeStoppingError(
-                f"the node stopped {self._describe_wait()}", outcome=Outcome.UNKNOWN
-            )
-        else:
-            error = NodeStoppingError(
-                f"the node stopped {self._describe_wait()}", retry_after_s=STOP_RETRY_AFTER_S
-            )
+            return self._make_cut_error("the node stopped")
+        error = NodeStoppingError(
+            f"the node stopped {self._describe_wait()}", outcome=self._find_outcome()
+        )
+        if error.outcome is Outcome.NOT_RUN:
+            error.retry_after_s = STOP_RETRY_AFTER_S
         error.attempt_count = self.attempt_count
         return error
 
     def _make_deadline_error(self) -> RequestError:
         if self._response.owner is not None:
-            return ResponseCutError(
-                "the deadline passed before the response was complete", outcome=Outcome.UNKNOWN
-            )
-        outcome = Outcome.UNKNOWN if self._open_attempts else Outcome.NOT_RUN
-        detail = f"no response before the deadline, which passed {self._describe_wait()}"
-        return DeadlineExpiredError(detail, outcome=outcome)
+            return self._make_cut_error("the deadline passed")
+        return DeadlineExpiredError(
+            f"no response before the deadline, which passed {self._describe_wait()}",
+            outcome=self._find_outcome(),
+        )
+
+    def _make_cut_error(self, detail: str) -> ResponseCutError:
+        error = ResponseCutError(
+            f"{detail} before the response was complete", outcome=Outcome.UNKNOWN
+        )
+        error.attempt_count = self.attempt_count
+        return error
+
+    def _find_outcome(self) -> Outcome:
+        """Return what is known of a request that ends without a response."""
+        may_run = bool(self._open_attempts) or self._may_have_run
+        return Outcome.UNKNOWN if may_run else Outcome.NOT_RUN
 
     def _describe_wait(self) -> str:
         """Describe what the request waits for, to distinguish a slow target from a slow front."""
