Begin ejections for failures short where a service's faults are short

Cause: an ejection for failures lasted 10 s, 20 s and so on, though the faults of the platform's targets last 2.7 s on average, so that targets were left out for seconds after they had become sound. Class: exclusion that outlasts its cause.

Change: where short faults are tracked, a first ejection for failures lasts one and a half mean faults (4.05 s); each repetition doubles it as before. Suspicion avoids a target that goes on failing meanwhile. Ejections for latency or for a small share of failures over a longer time are as long as they were. Feature detection: 4.1, 8.1 and 16.2 s, where it was 10, 20 and 40 s.

Related paths: the fast and the careful mode share the rule; services without a fault model are as before.

--- a/src/samphirespring/process/agent/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -1,5 +1,7 @@
 """State of one target on the agent's own host."""
 
+import math
+
 import msgspec
 
 from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue
@@ -76,6 +78,7 @@
             model: Fault model of the service; None ends the tracking.
             now_s: Monotonic time, in seconds.
         """
+        self.evaluator.use_fault_span(math.inf if model is None else model.span_s)
         if model is None:
             self.suspicion = None
         elif self.suspicion is None:
--- a/src/samphirespring/process/detection/target_evaluator.py
+++ b/src/samphirespring/process/detection/target_evaluator.py
@@ -1,5 +1,7 @@
 """Evaluates the health of one target in its agent."""
 
+import math
+
 import msgspec
 
 from samphirespring.process.detection.parameters import get_parameters
@@ -31,6 +33,7 @@
         self._mode = DetectionMode.CAREFUL
         self._slow_start_s = DEFAULT_SLOW_START_S
         self._terms: DetectionTerms | None = None
+        self._fault_span_s = math.inf
         self._health = self._make_health(now_s)
 
     @property
@@ -55,14 +58,25 @@
         if terms.reference is not None:
             self._health.use_reference(terms.reference)
 
+    def use_fault_span(self, span_s: float) -> None:
+        """Set the mean length of the short faults of the target's service.
+
+        Args:
+            span_s: The length, in seconds; infinite if short faults aren't tracked.
+        """
+        self._fault_span_s = span_s
+        self._health.use_fault_span(span_s)
+
     def _make_health(self, now_s: float) -> TargetHealth:
         parameters = get_parameters(self._mode)
-        return TargetHealth(
+        health = TargetHealth(
             SequentialDetector(parameters),
             parameters=parameters,
             slow_start_s=self._slow_start_s,
             now_s=now_s,
         )
+        health.use_fault_span(self._fault_span_s)
+        return health
 
     def _replace_health(self, now_s: float) -> None:
         was_cold = self._health.state is TargetCondition.SLOW_START
--- a/src/samphirespring/process/detection/target_health.py
+++ b/src/samphirespring/process/detection/target_health.py
@@ -8,7 +8,7 @@
 from samphirespring.process.detection.observations import FAILURES, Observation, Stall
 from samphirespring.process.detection.parameters import DetectionParameters
 from samphirespring.process.detection.reference import PoolReference
-from samphirespring.process.detection.states import ObservedOutcome
+from samphirespring.process.detection.states import EvidenceKind, ObservedOutcome
 from samphirespring.process.detection.summaries import TargetSummary
 from samphirespring.process.states import TargetCondition
 
@@ -22,6 +22,10 @@
 MIN_START_WEIGHT = 0.1
 """Weight of a target at the start of its slow start."""
 
+FIRST_EJECTION_SPANS = 1.5
+"""Duration of a first ejection for failures, in mean lengths of the short faults of a service. Most
+of them are over by then, and a target that isn't ejected is avoided for as long as it fails."""
+
 MAX_BACKOFF_LEVEL = 16
 
 
@@ -70,6 +74,7 @@
         self._entered_at_s = now_s
         self._ends_at_s: float | None = None
         self._in_cold_start = False
+        self._fault_span_s = math.inf
         self._backoff_level = 0
         self._backoff_drops_at_s = math.inf
         self._outcome_count = 0
@@ -137,6 +142,14 @@
         until_s = now_s + (self._slow_start_s if duration_s is None else duration_s)
         self._enter(TargetCondition.SLOW_START, now_s, until_s=until_s)
 
+    def use_fault_span(self, span_s: float) -> None:
+        """Set the mean length of the short faults of the target's service.
+
+        Args:
+            span_s: The length, in seconds; infinite if short faults aren't tracked.
+        """
+        self._fault_span_s = span_s
+
     def use_reference(self, reference: PoolReference) -> None:
         """Replace the reference that observations are compared with.
 
@@ -257,11 +270,16 @@
 
     def _eject(self, now_s: float) -> None:
         self._cause = self._detector.explain(now_s)
-        duration_s = self._parameters.ejection_s * 2**self._backoff_level
+        duration_s = self._find_first_ejection_s(self._cause.kind) * 2**self._backoff_level
         self._backoff_level = min(MAX_BACKOFF_LEVEL, self._backoff_level + 1)
         until_s = now_s + min(self._parameters.max_ejection_s, duration_s)
         self._enter(TargetCondition.UNHEALTHY, now_s, until_s=until_s)
 
+    def _find_first_ejection_s(self, kind: EvidenceKind) -> float:
+        if kind is not EvidenceKind.FAILURES:
+            return self._parameters.ejection_s
+        return min(self._parameters.ejection_s, FIRST_EJECTION_SPANS * self._fault_span_s)
+
     def _end_state(self, now_s: float) -> None:
         if self._state is TargetCondition.UNHEALTHY:
             self._detector.reset()
--- a/tests/features/detection.feature
+++ b/tests/features/detection.feature
@@ -76,6 +76,19 @@
     When it stays healthy for 3 times the decay time of the backoff
     Then its next ejection lasts 10.0 s
 
+  # Guards against sound targets that get nothing for seconds after a short fault has ended.
+  Scenario: Ejections for failures begin short where faults are short
+    Given a target's health under the "fast" policy
+    And its service has faults of 2.7 s
+    When it fails its requests until it is ejected and then passes its trial 3 times
+    Then its ejections last 4.1, 8.1 and 16.2 s
+
+  Scenario: Ejections for latency are as long where faults are short
+    Given a target's health under the "fast" policy
+    And its service has faults of 2.7 s
+    When it becomes unhealthy and passes its trial 3 times
+    Then its ejections last 10.0, 20.0 and 40.0 s
+
   Scenario: A target that is still unhealthy in its trial is ejected again
     Given a target's health under the "careful" policy
     When it becomes unhealthy and responds slowly in its trial
--- a/tests/features/steps/detection_steps.py
+++ b/tests/features/steps/detection_steps.py
@@ -140,19 +140,24 @@
     context.ejection_durations_s = []
 
 
-def observe_until(context, latency_s, condition):
+@given("its service has faults of {span_s:f} s")
+def step_use_faults(context, span_s):
+    context.health.use_fault_span(span_s)
+
+
+def observe_until(context, latency_s, condition, outcome=ObservedOutcome.OK):
     for _ in range(10_000):
         if context.health.read_condition(context.now_s) is condition:
             return
         context.now_s += INTERVAL_S
         context.health.observe(
-            Observation(at_s=context.now_s, outcome=ObservedOutcome.OK, latency_s=latency_s)
+            Observation(at_s=context.now_s, outcome=outcome, latency_s=latency_s)
         )
     raise AssertionError(f"the target never became {condition}")
 
 
-def await_ejection(context):
-    observe_until(context, 0.4, TargetCondition.UNHEALTHY)
+def await_ejection(context, latency_s=0.4, outcome=ObservedOutcome.OK):
+    observe_until(context, latency_s, TargetCondition.UNHEALTHY, outcome)
     started_at_s = context.now_s
     while context.health.read_condition(context.now_s) is TargetCondition.UNHEALTHY:
         context.now_s += INTERVAL_S
@@ -168,6 +173,14 @@
         observe_until(context, 0.04, TargetCondition.HEALTHY)
 
 
+@when("it fails its requests until it is ejected and then passes its trial {count:d} times")
+def step_fail_and_recover(context, count):
+    for _ in range(count):
+        await_ejection(context, 0.04, ObservedOutcome.WRONG)
+        observe_until(context, 0.04, TargetCondition.SLOW_START)
+        observe_until(context, 0.04, TargetCondition.HEALTHY)
+
+
 @then("its ejections last {first:f}, {second:f} and {third:f} s")
 def step_check_durations(context, first, second, third):
     expected = [first, second, third]
