Accept connections in batches of 64

Class: a step that grows with a queue.

Evidence: feature accepting, connections that wait, accepted in one step: 300 of 300 before, at most 64 now (links: 100).

--- a/src/samphirespring/connection/listener.py
+++ b/src/samphirespring/connection/listener.py
@@ -15,6 +15,9 @@
 BACKLOG = 2_048
 """Largest number of connections that wait to be accepted."""
 
+BATCH = 64
+"""Connections that are accepted in a row before other callbacks get their turn."""
+
 EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 """Errors of `accept` that say that the process or the host has nothing left for a connection."""
 
@@ -31,11 +34,11 @@
 
 
 class Listener(socket.socket):
-    """Listening socket that tries once to accept a connection without a free descriptor.
+    """Listening socket that accepts short batches, and tries once without a free descriptor.
 
-    The event loop then stops watching the socket for a second. Before that it goes on with its
-    batch of connections, up to the length of the backlog, and plans another restart for each one
-    that fails; the restarts, too, would fail in batches, and their number would grow.
+    The event loop accepts as many connections at once as the backlog is long. After a failure it
+    stops watching the socket for a second, but goes on with its batch and plans another restart for
+    each one that fails; the restarts, too, would fail in batches, and their number would grow.
 
     Args:
         listener: The listening socket, which this one replaces.
@@ -46,18 +49,20 @@
         super().__init__(listener.family, listener.type, listener.proto, fileno=listener.detach())
         self._descriptor_limit = descriptor_limit
         self._last_descriptor = 0
+        self._accepted_in_row = 0
         self._is_exhausted = False
 
     def accept(self) -> tuple[socket.socket, Any]:
         """Return the next connection and the address of its peer.
 
         Raises:
-            BlockingIOError: No connection waits, or the last one could not be accepted.
+            BlockingIOError: No connection waits, or the batch has ended.
             OSError: The connection can't be accepted.
         """
-        if self._is_exhausted:
+        if self._is_exhausted or self._accepted_in_row >= BATCH:
             self._is_exhausted = False
-            raise BlockingIOError(errno.EAGAIN, "the last connection could not be accepted")
+            self._accepted_in_row = 0
+            raise BlockingIOError(errno.EAGAIN, "the batch has ended")
         try:
             self._check_reserve()
             connection, peer = super().accept()
@@ -71,6 +76,7 @@
                 )
             raise
         self._last_descriptor = connection.fileno()
+        self._accepted_in_row += 1
         return connection, peer
 
     def _check_reserve(self) -> None:
--- a/tests/features/accepting.feature
+++ b/tests/features/accepting.feature
@@ -21,3 +21,14 @@
     When 220 connections are opened and 1.5 s pass
     Then the process could open at least 20 more descriptors
     And within 3 s after the connections are closed a new one is accepted
+
+  # Guards against a step that grows with the number of connections that wait.
+  Scenario Outline: Many connections that wait are accepted in several steps
+    Given a server for <kind> in a process that has 1000 descriptors left
+    When <count> connections are opened and 1.5 s pass
+    Then <count> connections were accepted, at most 64 of them in one step
+
+    Examples:
+      | kind     | count |
+      | requests | 300   |
+      | links    | 100   |
--- a/tests/features/steps/accepting_steps.py
+++ b/tests/features/steps/accepting_steps.py
@@ -6,6 +6,7 @@
 import resource
 import socket
 import time
+from collections import Counter
 from contextlib import asynccontextmanager, contextmanager, suppress
 from unittest import mock
 
@@ -85,16 +86,26 @@
             for client in clients:
                 client.setblocking(False)
                 client.connect_ex(ADDRESS)
+            turns = asyncio.create_task(_count_turns(context)) if context.counts_turns else None
             began_s = time.process_time()
             await anyio.sleep(duration_s)
             context.processor_s = time.process_time() - began_s
             context.failed_tries = reports.count
+            if turns is not None:
+                turns.cancel()
+            context.accepted_by_turn = dict(context.by_turn)
             context.spare_descriptors = _count_spare_descriptors()
             for client in clients:
                 client.close()
             await _connect_again(context)
 
 
+async def _count_turns(context):
+    while True:
+        await asyncio.sleep(0)
+        context.turn += 1
+
+
 async def _connect_again(context):
     began_s = time.monotonic()
     # The kernel keeps closed connections in the queue of the listener: they are accepted first.
@@ -118,9 +129,14 @@
 def step_open(context, count, duration):
     accept = socket.socket.accept
     context.accepted_ports = set()
+    context.by_turn = Counter()
+    context.turn = 0
+    # Counting turns keeps the event loop awake, which other scenarios measure.
+    context.counts_turns = context.descriptors >= count
 
     def record(listener):
         connection, peer = accept(listener)
+        context.by_turn[context.turn] += 1
         context.accepted_ports.add(peer[1])
         return connection, peer
 
@@ -167,3 +183,9 @@
 @then("the process could open at least {count:d} more descriptors")
 def step_spare(context, count):
     assert context.spare_descriptors >= count, context.spare_descriptors
+
+
+@then("{count:d} connections were accepted, at most {most:d} of them in one step")
+def step_accepted_in_steps(context, count, most):
+    accepted = context.accepted_by_turn
+    assert sum(accepted.values()) == count and max(accepted.values()) <= most, accepted
