--- a/tests/features/document_fleet.feature
+++ b/tests/features/document_fleet.feature
@@ -19,6 +19,13 @@
     And the node without a data folder is killed and starts again with a peer in its settings
     Then both nodes have the newest document in force
 
+  # Guards against a key that is in use again once the processes that know of its withdrawal restart.
+  Scenario: A withdrawn token stays withdrawn while all control hosts restart
+    Given a fleet whose nodes have data folders
+    When the operators replace the token of team "recipes", and every control host rejects the old one
+    And every control host is killed and starts again
+    Then no control host accepts the old token until each has accepted the new one
+
   Scenario: Exit statuses of samphirectl
     Given a fleet whose nodes have data folders
     Then "samphirectl" exits with these statuses
--- a/tests/features/steps/document_fleet_steps.py
+++ b/tests/features/steps/document_fleet_steps.py
@@ -1,3 +1,5 @@
+import hashlib
+import http.client
 import json
 import os
 import subprocess
@@ -231,6 +233,62 @@
     ), [read_in_force(context, node) for node in nodes]
 
 
+NEW_TOKEN = "replaced-token-of-recipes"
+"""Token of the team whose old one is withdrawn."""
+
+
+def read_status(address, bearer):
+    """Return the status of a read of the host's own document, or None if it doesn't respond."""
+    try:
+        headers = {"Authorization": f"Bearer {bearer}"}
+        path = "/v1/document/sections/recipes?local=true"
+        return send_request(address, "GET", path, headers=headers).status
+    except (OSError, http.client.HTTPException):
+        return None
+
+
+@when(
+    'the operators replace the token of team "{team}", and every control host rejects the old one'
+)
+def step_replace_token(context, team):
+    context.old_token = token(team)
+    section = read_section(context, "access", "operators")
+    content = section["content"]
+    content["teams"][team]["token_sha256"] = hashlib.sha256(NEW_TOKEN.encode()).hexdigest()
+    body = {"base_version": section["version"], "change_id": "replace", "content": content}
+    path = "/v1/document/sections/access"
+    addresses = list_operators(context)
+    response = send_to_leader(addresses, "PUT", path, body, token=token("operators"))
+    assert response.status == 200, response
+    assert wait_until(
+        lambda: all(read_status(address, context.old_token) == 401 for address in addresses)
+    )
+
+
+@when("every control host is killed and starts again")
+def step_restart_controls(context):
+    context.fleet.restart_controls()
+
+
+@then("no control host accepts the old token until each has accepted the new one")
+def step_check_withdrawn(context):
+    statuses = set()
+
+    def accepts_new(address):
+        statuses.add(read_status(address, context.old_token))
+        return read_status(address, NEW_TOKEN) == 200
+
+    waiting = set(list_operators(context))
+    assert wait_until(lambda: not _drop(waiting, accepts_new)), waiting
+    assert statuses <= {None, 401, 503} and 401 in statuses, statuses
+
+
+def _drop(waiting, is_done):
+    """Drop the entries that are done, and return the others."""
+    waiting -= {entry for entry in waiting if is_done(entry)}
+    return waiting
+
+
 def run_ctl(addresses, team, command):
     options = [part for address in addresses for part in ("--control", address)]
     return subprocess.run(
