Keep the reserve of descriptors from callers' connections only

Found while the change was read once more: readiness checks, announcements and operators were held up at seven eighths of the limit like callers, so that a crowd of callers would have let a node's targets expire. Only the listener for callers leaves the reserve now; the others accept up to the limit. Feature accepting passes.

--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -14,7 +14,7 @@
     BoundedHttpProtocol,
     ConnectionBounds,
 )
-from samphirespring.connection.listener import RESERVED_SHARE, open_listener
+from samphirespring.connection.listener import open_listener
 
 START_POLL_INTERVAL_S = 0.01
 ACCEPTED_REQUEST_TIMEOUT_S = 0.3
@@ -143,6 +143,7 @@
     read_bounds: Callable[[], ConnectionBounds] = ConnectionBounds,
     drain_timeout_s: float = 5.0,
     tls: ssl.SSLContext | None = None,
+    reserved_share: float = 0.0,
 ) -> AsyncIterator[HttpServer]:
     """Serve an ASGI application while the context is open; leaving waits for requests in flight.
 
@@ -153,6 +154,7 @@
         read_bounds: Returns the bounds of a new connection.
         drain_timeout_s: Longest wait for requests in flight when the context is left, in seconds.
         tls: Context of the listening socket; None serves plain HTTP.
+        reserved_share: Share of the process's descriptors that the connections don't use.
 
     Raises:
         AddressUnavailableError: The address is taken or isn't one of this host.
@@ -174,7 +176,7 @@
     config.load()
     config.ssl = tls
     listeners = [
-        open_listener(listen_address, reserved_share=RESERVED_SHARE)
+        open_listener(listen_address, reserved_share=reserved_share)
         for listen_address in (address, *more_addresses)
     ]
     server = HttpServer(_EmbeddedServer(config), listeners, drain_timeout_s=drain_timeout_s)
--- a/src/samphirespring/connection/listener.py
+++ b/src/samphirespring/connection/listener.py
@@ -21,9 +21,6 @@
 EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 """Errors of `accept` that say that the process or the host has nothing left for a connection."""
 
-RESERVED_SHARE = 1 / 8
-"""Share of the descriptors that connections of callers leave to those that serve them."""
-
 _log = EventLog()
 
 
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -91,6 +91,10 @@
 from samphirespring.version.routes import CompiledDocument
 
 LINK_CAPACITY = 4_000
+RESERVED_DESCRIPTOR_SHARE = 1 / 8
+"""Share of the descriptors that callers' connections leave to those that serve them, and to local
+and operators' connections."""
+
 DRAIN_POLL_S = 0.05
 END_RESPONSE_TIME_S = 0.1
 """Time before the end of a drain at which the requests left are ended with an error, in seconds."""
@@ -409,6 +413,7 @@
             read_bounds=self._read_connection_bounds,
             drain_timeout_s=self._settings.drain_timeout_s,
             tls=self._caller_tls,
+            reserved_share=RESERVED_DESCRIPTOR_SHARE,
         ) as server:
             yield server
 
--- a/tests/features/steps/accepting_steps.py
+++ b/tests/features/steps/accepting_steps.py
@@ -17,6 +17,7 @@
 
 from samphirespring.connection.http_server import serve_http
 from samphirespring.connection.link_server import serve_link
+from samphirespring.process.composition.node import RESERVED_DESCRIPTOR_SHARE
 from samphirespring.process.event_loop.watched_loop import make_backend_options
 
 ADDRESS = ("127.0.0.1", 26431)
@@ -32,7 +33,7 @@
 async def _serve(kind):
     address = f"{ADDRESS[0]}:{ADDRESS[1]}"
     if kind == "requests":
-        async with serve_http(_respond, address=address):
+        async with serve_http(_respond, address=address, reserved_share=RESERVED_DESCRIPTOR_SHARE):
             yield
     else:
         async with serve_link([], address=address):
