Wait until the registry has a restarted node's target before its drain is ended

The step waits until the restarted node's agent knows the target; the registry has the node's first record by then, which on a busy machine is that of a host without targets (2 s after its start), and gets the next one with the next report. A race of the test; samphirectl says so with its own exit status.

Change: the step also waits until the registry lists the target.

--- a/tests/features/steps/document_fleet_steps.py
+++ b/tests/features/steps/document_fleet_steps.py
@@ -318,6 +318,12 @@
         assert "Traceback" not in result.stderr, result.stderr
 
 
+def is_registered(context, target):
+    """Return whether the registry has a host that announces a target."""
+    hosts = send_to_leader(list_operators(context), "GET", "/v1/hosts", token=token("operators"))
+    return any(target in host["targets"] for host in hosts.json)
+
+
 @then("a drained target rejects requests until the drain ends, also after its node was killed")
 def step_check_drain(context):
     node = context.fleet.example.folder / "node-alta-1.json"
@@ -333,6 +339,8 @@
     context.fleet.wait_until_serving()
     # The target is back once it has announced itself again.
     assert wait_until(read_phase) == "draining"
+    # The registry may still have the record of the restarted node without its target.
+    assert wait_until(lambda: is_registered(context, "orders-alta-1-1"))
     result = run_ctl(
         list_operators(context), "operators", ["drain-target", "orders-alta-1-1", "--end"]
     )
