End the channel of a host that lost power or was cut off, so that its selections become free

Cause: a host that loses power or is cut off closes no connection. The host that selects targets for its neighbours counted what the lost front had selected for good, as nothing on its side ever ended the connection (the server's end had no limits; the kernel's default is a quarter of an hour). A target with as many counted attempts as slots looks full for the rest of the process's life: it is neither chosen nor explored, though it is sound. Change: a host's channel ends when the host asks for a target on a new one, which a front opens only once the earlier one is broken; and the server's end of a link is closed by the kernel 10 s after the client's host was lost, so that hosts that don't come back, and the descriptors of all such links, aren't kept either. It is longer than the client's 2 s, as a suspended host still gets its responses. Same cause on related paths: replication uploads, watchers and reports end with their link, too. Tests (fail before): scheduling, 'its host starts again, with its earlier channel left open', 'The channel of a front that has gone'.

--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -22,7 +22,9 @@
 from samphirespring.connection.channel_body import ChannelBody
 from samphirespring.connection.credit import Credit
 from samphirespring.connection.link_errors import LinkUnavailableError
-from samphirespring.process.ids import TargetId
+from samphirespring.process.ids import HostId, TargetId
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ForwardingSlot, InboxFullError, Mailbox, ReplySlot
 from samphirespring.process.target_table import (
     ReleaseTarget,
@@ -43,6 +45,8 @@
 OUTBOX_CAPACITY = 100_000
 UNLIMITED_BYTES = 1 << 62
 
+_log = EventLog()
+
 
 class _OpenedAttempt(msgspec.Struct, kw_only=True, eq=False):
     """An attempt whose last frame hasn't been sent.
@@ -61,6 +65,10 @@
 class AttemptChannelServer:
     """Serves the channels of all fronts.
 
+    A front opens another channel only once its earlier one is broken. If its host lost power, or
+    was cut off, nothing else shows soon that the earlier one has ended: it ends when the host asks
+    for a target on the new one, so that what was selected over it becomes free.
+
     Args:
         starter: Starts attempts.
         table: Inbox of the target table that selects targets for other fronts.
@@ -69,26 +77,57 @@
     def __init__(self, starter: AttemptStarter, *, table: Mailbox[TableMessage]) -> None:
         self._starter = starter
         self._table = table
+        self._channels: dict[HostId, _ServedChannel] = {}
+        """The latest channel on which each host asked for targets."""
 
     async def serve(
         self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
     ) -> None:
-        """Serve one channel until the front closes it; its attempts end with it.
+        """Serve one channel until the front closes or replaces it; its attempts end with it.
 
         Args:
             messages: Messages of the front.
             send: Sends a message to the front; waits while the front reads slowly.
         """
-        channel = _ServedChannel(self._starter, self._table)
-        await channel.serve(messages, send)
+        channel = _ServedChannel(self._starter, self._table, on_ask=self._replace_channel)
+        try:
+            await channel.serve(messages, send)
+        finally:
+            if channel.host is not None and self._channels.get(channel.host) is channel:
+                del self._channels[channel.host]
+
+    def _replace_channel(self, channel: "_ServedChannel", host: HostId) -> None:
+        """Record the channel on which a host asks, and end its earlier one."""
+        earlier = self._channels.get(host)
+        self._channels[host] = channel
+        if earlier is not None:
+            _log.info(LogEvent.CHANNEL_REPLACED, host=host)
+            earlier.end()
 
 
 class _ServedChannel:
-    """State of one channel."""
+    """State of one channel.
 
-    def __init__(self, starter: AttemptStarter, table: Mailbox[TableMessage]) -> None:
+    Args:
+        starter: Starts attempts.
+        table: Inbox of the target table.
+        on_ask: Called with the channel and the host of its front when that first asks for a target.
+    """
+
+    def __init__(
+        self,
+        starter: AttemptStarter,
+        table: Mailbox[TableMessage],
+        *,
+        on_ask: Callable[["_ServedChannel", HostId], None],
+    ) -> None:
         self._starter = starter
         self._table = table
+        self._on_ask = on_ask
+        self._scope = anyio.CancelScope()
+        self.host: HostId | None = None
+        """Host of the front; None before it asks for a target."""
+
         self._selected: dict[ChannelNumber, TargetId] = {}
         """Targets that the front uses."""
 
@@ -102,11 +141,12 @@
         self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
     ) -> None:
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._send_all, send)
-                async for message in messages:
-                    self._handle(message)
-                group.cancel_scope.cancel()
+            with self._scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._send_all, send)
+                    async for message in messages:
+                        self._handle(message)
+                    group.cancel_scope.cancel()
         finally:
             for attempt in self._attempts.values():
                 _end(attempt)
@@ -115,6 +155,10 @@
             for target in self._selected.values():
                 self._table.post(ReleaseTarget(target=target))
 
+    def end(self) -> None:
+        """End the channel, as if its front had closed it."""
+        self._scope.cancel()
+
     async def _send_all(self, send: Callable[[ToFront], Awaitable[None]]) -> None:
         while True:
             message = await self._outbox.receive()
@@ -146,6 +190,9 @@
                 self._end_selection(message)
 
     def _ask_target(self, message: AskTarget) -> None:
+        if self.host is None:
+            self.host = message.locality.host
+            self._on_ask(self, self.host)
         slot = ForwardingSlot[Candidate | None](
             lambda candidate: self._send_selected(message.number, candidate)
         )
--- a/src/samphirespring/connection/link_client.py
+++ b/src/samphirespring/connection/link_client.py
@@ -14,6 +14,7 @@
 
 from samphirespring.connection._cancellation import restore_cancellation_count
 from samphirespring.connection.codec import MsgpackCodec
+from samphirespring.connection.dead_peers import DeadPeerDetection
 from samphirespring.connection.link_errors import (
     LinkMessageInvalidError,
     LinkUnavailableError,
@@ -37,13 +38,7 @@
 TLS_OPEN_TIMEOUT_S = 1.5
 """Longest wait for a connection with TLS handshake and a new stream on it, in seconds."""
 
-TCP_USER_TIMEOUT_MS = 2_000
-"""How long sent bytes may stay unacknowledged before the kernel closes the connection."""
-
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-
+DEAD_SERVER_DETECTION = DeadPeerDetection(idle_s=2, interval_s=1, probes=2, unacknowledged_s=2)
 
 UNKNOWN_METHOD_MESSAGE = "Missing content-type header"
 """Message of grpclib's client about a response without a content type, which its server sends for a
@@ -67,24 +62,11 @@
             raise ConnectionResetError("the connection was lost as it opened")
         link_socket = transport.get_extra_info("socket")
         if link_socket is not None:
-            enable_dead_peer_detection(link_socket)
+            DEAD_SERVER_DETECTION.apply(link_socket)
         self.link_socket = link_socket
         return protocol
 
 
-def enable_dead_peer_detection(link_socket: socket.socket) -> None:
-    """Make the kernel close a connection whose peer stops acknowledging packets.
-
-    Args:
-        link_socket: The connected socket.
-    """
-    link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
 def has_retransmission_timeout(link_socket: socket.socket) -> bool:
     """Return whether the kernel's retransmission timeout has passed without an acknowledgement.
 
--- a/src/samphirespring/connection/link_server.py
+++ b/src/samphirespring/connection/link_server.py
@@ -11,6 +11,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from samphirespring.connection.codec import MsgpackCodec
+from samphirespring.connection.dead_peers import DeadPeerDetection
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.link_methods import (
     DuplexMethod,
@@ -27,6 +28,10 @@
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.metrics.metrics import Metrics
 
+DEAD_CLIENT_DETECTION = DeadPeerDetection(idle_s=5, interval_s=1, probes=5, unacknowledged_s=10)
+"""Longer than a client waits for a server: a host that was only suspended for some seconds still
+gets the responses to what it sent before."""
+
 _log = EventLog()
 
 
@@ -195,7 +200,7 @@
         AddressUnavailableError: The address is taken or isn't one of this host.
     """
     server = grpclib.server.Server([_HandlerMap(handlers)], codec=MsgpackCodec(metrics))
-    listener = open_listener(address)
+    listener = open_listener(address, dead_peers=DEAD_CLIENT_DETECTION)
     await server.start(sock=listener, ssl=tls)
     try:
         yield
--- a/src/samphirespring/connection/listener.py
+++ b/src/samphirespring/connection/listener.py
@@ -7,6 +7,7 @@
 import sys
 from typing import Any
 
+from samphirespring.connection.dead_peers import DeadPeerDetection
 from samphirespring.process.addresses import parse_address
 from samphirespring.process.errors import ErrorCode, SamphireError
 from samphirespring.process.logs.event_log import EventLog
@@ -40,11 +41,20 @@
     Args:
         listener: The listening socket, which this one replaces.
         descriptor_limit: Number from which on descriptors aren't used for connections.
+        dead_peers: When connections of clients that have gone are closed; None leaves this to the
+            kernel's defaults.
     """
 
-    def __init__(self, listener: socket.socket, *, descriptor_limit: int) -> None:
+    def __init__(
+        self,
+        listener: socket.socket,
+        *,
+        descriptor_limit: int,
+        dead_peers: DeadPeerDetection | None = None,
+    ) -> None:
         super().__init__(listener.family, listener.type, listener.proto, fileno=listener.detach())
         self._descriptor_limit = descriptor_limit
+        self._dead_peers = dead_peers
         self._last_descriptor = 0
         self._accepted_in_row = 0
         self._is_exhausted = False
@@ -74,6 +84,8 @@
             raise
         self._last_descriptor = connection.fileno()
         self._accepted_in_row += 1
+        if self._dead_peers is not None:
+            self._dead_peers.apply(connection)
         return connection, peer
 
     def _check_reserve(self) -> None:
@@ -86,12 +98,16 @@
             raise OSError(errno.EMFILE, "the other descriptors are reserved")
 
 
-def open_listener(address: str, *, reserved_share: float = 0.0) -> Listener:
+def open_listener(
+    address: str, *, reserved_share: float = 0.0, dead_peers: DeadPeerDetection | None = None
+) -> Listener:
     """Return a socket that listens at an address.
 
     Args:
         address: `IP:port` to listen on.
         reserved_share: Share of the process's descriptors that its connections don't use.
+        dead_peers: When connections of clients that have gone are closed; None leaves this to the
+            kernel's defaults.
 
     Raises:
         AddressUnavailableError: The address is taken or isn't one of this host.
@@ -105,7 +121,11 @@
         _log.error(LogEvent.LISTEN_FAILED, host=parts.host, port=parts.port, reason=reason)
         raise AddressUnavailableError(f"{address}: {reason}") from None
     listener.setblocking(False)
-    return Listener(listener, descriptor_limit=_compute_descriptor_limit(reserved_share))
+    return Listener(
+        listener,
+        descriptor_limit=_compute_descriptor_limit(reserved_share),
+        dead_peers=dead_peers,
+    )
 
 
 def _compute_descriptor_limit(reserved_share: float) -> int:
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -34,6 +34,7 @@
     TARGET_PROBE_CHANGED = "target_probe_changed"
     PATH_LOST = "path_lost"
     PATH_FOUND = "path_found"
+    CHANNEL_REPLACED = "channel_replaced"
     DRAIN_SET = "drain_set"
     TARGET_LEFT = "target_left"
     DEPARTURES_READ = "departures_read"
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -32,9 +32,17 @@
     Then the 10 targets are distinct
 
     Examples:
-      | end                                      |
-      | its attempts end                         |
-      | its channel ends                         |
+      | end                                                       |
+      | its attempts end                                          |
+      | its channel ends                                          |
+      | its host starts again, with its earlier channel left open |
+
+  # Guards against targets that count as full for good: a host that has lost power, or was cut off, closes no
+  # connection, so that what its front had selected stayed counted.
+  Scenario: The channel of a front that has gone without closing it ends
+    Given a host that serves links
+    When a front opens a connection to it
+    Then the host's kernel closes the connection 8 s to 15 s after the front's host was lost
 
   Scenario: A front passes on what its attempts show of a target
     Given a host that selects among 10 targets with 1 slot each
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -1,4 +1,6 @@
+import math
 import random
+import socket
 from collections import Counter
 from contextlib import AsyncExitStack
 
@@ -12,6 +14,7 @@
 from samphirespring.connection.channel_server import AttemptChannelServer
 from samphirespring.connection.link_pool import LinkPool
 from samphirespring.connection.link_server import DuplexHandler, serve_link
+from samphirespring.connection.listener import Listener
 from samphirespring.process.attempt_channels import AttemptChannels
 from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.scheduled_targets import REPLY_TIMEOUT_S, ScheduledTargetSource
@@ -217,6 +220,12 @@
             if end == "its channel ends":
                 links.close()
                 await anyio.sleep(SETTLE_S)
+            if end.startswith("its host starts again"):
+                # The earlier selections are never ended.
+                scheduling.stack.push_async_exit(stack.pop_all())
+                again, _ = await scheduling.start_front("earlier")
+                async with again.select(TERMS):
+                    pass
         await anyio.sleep(SETTLE_S)
 
     context.before = before
@@ -237,6 +246,55 @@
     assert len(set(context.selected)) == len(context.selected) == count, context.selected
 
 
+@given("a host that serves links")
+def step_make_link_host(context):
+    context.scheduling = Scheduling(targets=0)
+
+
+@when("a front opens a connection to it")
+def step_open_connection(context):
+    accepted = []
+    accept = Listener.accept
+
+    def keep_accepted(listener):
+        connection, peer = accept(listener)
+        accepted.append(connection)
+        return connection, peer
+
+    Listener.accept = keep_accepted
+    context.add_cleanup(setattr, Listener, "accept", accept)
+
+    async def call(scheduling):
+        host, _, port = ADDRESS.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)):
+            while not accepted:
+                await anyio.sleep(0.01)
+            return read_detection(accepted[0])
+
+    context.detection = context.scheduling.run(call)
+
+
+def read_detection(connection):
+    """Return when the kernel gives up a silent peer, without and with unacknowledged bytes."""
+
+    def read(option):
+        return connection.getsockopt(socket.IPPROTO_TCP, option)
+
+    if not connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE):
+        return math.inf, math.inf
+    probed_s = read(socket.TCP_KEEPIDLE) + read(socket.TCP_KEEPCNT) * read(socket.TCP_KEEPINTVL)
+    unacknowledged_s = read(socket.TCP_USER_TIMEOUT) / 1_000 or math.inf
+    return max(probed_s, unacknowledged_s), unacknowledged_s
+
+
+@then(
+    "the host's kernel closes the connection {least:d} s to {most:d} s after the front's host was"
+    " lost"
+)
+def step_check_detection(context, least, most):
+    assert all(least <= after_s <= most for after_s in context.detection), context.detection
+
+
 @when("a front selects a target and learns that it is in a fault")
 def step_learn(context):
     async def call(scheduling):
