Make no selection for a front that has stopped waiting for it

Cause: a front waits 0.08 s for the host that selects for it and then selects by its own table. The asked table looked whether anybody still waits only after it had evaluated all targets. Once its inbox takes longer than 0.08 s, it does the whole work for nobody, and stays behind: a step that grows with the queue. Change: an abandoned selection is dropped first. Test (fails before with 25 evaluations for 5): scheduling, 'A selection that nobody waits for any more isn't made'.

--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -298,6 +298,9 @@
         )
 
     def _select(self, message: SelectTarget) -> Candidate | None:
+        if message.reply.abandoned:
+            # Under load this keeps the table from working for fronts that have stopped waiting.
+            return None
         self._remove_expired_hosts()
         terms = message.terms
         service = terms.service
@@ -319,8 +322,6 @@
             is_retry=bool(terms.tried),
             now_s=now_s,
         )
-        if message.reply.abandoned:
-            return None
         if message.locality is not None:
             tiers = group_by_distance(tiers, message.locality)
         if model is None:
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -44,6 +44,13 @@
     When a front opens a connection to it
     Then the host's kernel closes the connection 8 s to 15 s after the front's host was lost
 
+  # Guards against a table that stays behind its inbox: it made each selection in full, also for fronts that had
+  # stopped waiting and selected by their own tables.
+  Scenario: A selection that nobody waits for any more isn't made
+    Given a host that selects among 10 targets with 1 slot each, and whose table stands still
+    When 5 selections are asked for, 20 are asked for and given up, and the table goes on
+    Then it evaluates its targets 5 times
+
   Scenario: A front passes on what its attempts show of a target
     Given a host that selects among 10 targets with 1 slot each
     When a front selects a target and learns that it is in a fault
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -17,8 +17,15 @@
 from samphirespring.connection.listener import Listener
 from samphirespring.process.attempt_channels import AttemptChannels
 from samphirespring.process.local_targets import LocalTargetSource
+from samphirespring.process.mailbox import ReplySlot
 from samphirespring.process.scheduled_targets import REPLY_TIMEOUT_S, ScheduledTargetSource
-from samphirespring.process.target_table import ApplyDelta, TargetTable, UseServicePolicies
+from samphirespring.process.service_pool import ServicePool
+from samphirespring.process.target_table import (
+    ApplyDelta,
+    SelectTarget,
+    TargetTable,
+    UseServicePolicies,
+)
 from samphirespring.process.targets import HostRecord, Locality, RegistryDelta, TargetRecord
 from samphirespring.process.timers import MonotonicTimerService
 from samphirespring.request.risk_selection import RiskSelector
@@ -151,7 +158,7 @@
             with anyio.fail_after(TIMEOUT_S):
                 async with anyio.create_task_group() as self.group, AsyncExitStack() as self.stack:
                     if not self.stands_still:
-                        self.group.start_soon(self.table.run)
+                        self.group.start_soon(self.run_table)
                     await self.stack.enter_async_context(serve_link([channels], address=ADDRESS))
                     result = await call(self)
                     await self.stack.aclose()
@@ -160,6 +167,10 @@
 
         return anyio.run(main)
 
+    async def run_table(self):
+        with anyio.CancelScope() as self.table_scope:
+            await self.table.run()
+
     async def start_front(self, name, *, reply_timeout_s=PATIENT_TIMEOUT_S):
         """Return a source of targets with a table and channels of its own, and its links."""
         links = LinkPool(capacity=10)
@@ -246,6 +257,38 @@
     assert len(set(context.selected)) == len(context.selected) == count, context.selected
 
 
+@when(
+    "{count:d} selections are asked for, {more:d} are asked for and given up, and the table goes on"
+)
+def step_give_up(context, count, more):
+    context.evaluations = 0
+    list_choices = ServicePool.list_choices
+
+    def count_evaluation(pool, **terms):
+        context.evaluations += 1
+        return list_choices(pool, **terms)
+
+    ServicePool.list_choices = count_evaluation
+    context.add_cleanup(setattr, ServicePool, "list_choices", list_choices)
+
+    async def call(scheduling):
+        slots = [ReplySlot() for _ in range(count + more)]
+        for slot in slots:
+            scheduling.table.inbox.post(SelectTarget(terms=TERMS, reply=slot))
+        for slot in slots[count:]:
+            slot.abandoned = True
+        scheduling.group.start_soon(scheduling.run_table)
+        for slot in slots:
+            await slot.wait()
+
+    context.scheduling.run(call)
+
+
+@then("it evaluates its targets {count:d} times")
+def step_check_evaluations(context, count):
+    assert context.evaluations == count, context.evaluations
+
+
 @given("a host that serves links")
 def step_make_link_host(context):
     context.scheduling = Scheduling(targets=0)
