Lose no end of a selection or attempt to a full inbox, and end no task by one

Cause: every message counted against the bound of an inbox. With 10,000 unread messages the end of a selection was refused: an error ended the channel of the front, and its other selections stayed counted as used. The same error ended the tasks that keep the registry's table, the document, the paths and the attempts of a node, and with them the process. Change: messages that end what an earlier one began, and those that come at a rate of the process's own, are posted with post_always; an attempt for an agent with a full inbox is refused as shedding. Same cause on related paths: follower, registry client, report sender, path prober, front, attempt runner, document store.

--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -153,7 +153,7 @@
             for slot in self._asked.values():
                 slot.abandoned = True
             for target in self._selected.values():
-                self._table.post(ReleaseTarget(target=target))
+                self._table.post_always(ReleaseTarget(target=target))
 
     def end(self) -> None:
         """End the channel, as if its front had closed it."""
@@ -223,8 +223,8 @@
         if target is None:
             return
         if message.load is not None:
-            self._table.post(UpdateLoad(target=target, load=message.load))
-        self._table.post(ReleaseTarget(target=target))
+            self._table.post_always(UpdateLoad(target=target, load=message.load))
+        self._table.post_always(ReleaseTarget(target=target))
 
     def _open(self, message: OpenAttempt) -> None:
         number = message.number
--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -343,7 +343,7 @@
 
     async def _read_leave_record(self) -> None:
         record = await self._departure_recorder.read()
-        self.inbox.post(UseLeaveRecord(record=record))
+        self.inbox.post_always(UseLeaveRecord(record=record))
 
     def _use_leave_record(self, record: LeaveRecord) -> None:
         # Targets that were held back until now may be among the drained ones.
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -19,7 +19,7 @@
 )
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.frame_batcher import FrameBatcher
-from samphirespring.process.mailbox import Mailbox, ask
+from samphirespring.process.mailbox import InboxFullError, Mailbox, ask, ask_always
 from samphirespring.process.queued_frames import QueuedFrames
 from samphirespring.process.stall_watch import AttemptWait, StallWatch
 from samphirespring.process.targets import TargetLoad
@@ -36,7 +36,7 @@
     FrameBatch,
     ResponseEnd,
 )
-from samphirespring.request.states import FailureKind
+from samphirespring.request.states import FailureKind, RefusalCode
 
 INBOX_CAPACITY = 10_000
 CLOSE_EXPIRED_INTERVAL_S = 10.0
@@ -169,9 +169,7 @@
         with closing(message.sink):
             batcher = FrameBatcher(message.sink)
             deadline_at_s = self._timers.read_now_s() + message.request.remaining_ms / 1_000
-            admission: Admission | AttemptRefused = await ask(
-                self._agent, lambda reply: AdmitAttempt(request=message.request, reply=reply)
-            )
+            admission = await self._admit(message.request)
             rejection = await self._check_action_start(message.request, admission)
             if rejection is not None:
                 await batcher.finish(rejection)
@@ -186,6 +184,15 @@
             with self._count_running():
                 await self._run_admitted(message, admission, batcher, deadline_at_s=deadline_at_s)
 
+    async def _admit(self, request: AttemptRequest) -> Admission | AttemptRefused:
+        try:
+            admission: Admission | AttemptRefused = await ask(
+                self._agent, lambda reply: AdmitAttempt(request=request, reply=reply)
+            )
+        except InboxFullError:
+            return AttemptRefused(attempt=request.attempt, code=RefusalCode.SHEDDING)
+        return admission
+
     async def _check_action_start(
         self, request: AttemptRequest, admission: Admission | AttemptRefused
     ) -> AttemptRefused | AttemptFailed | None:
@@ -196,7 +203,7 @@
         if request.idempotent or request.key is None:
             return None
         refusal = admission if isinstance(admission, AttemptRefused) else None
-        rejection: AttemptRefused | AttemptFailed | None = await ask(
+        rejection: AttemptRefused | AttemptFailed | None = await ask_always(
             self._guard,
             lambda reply: StartAction(request=request, refusal=refusal, reply=reply),
         )
@@ -212,7 +219,7 @@
         latency_s: float,
         stalled: bool = False,
     ) -> TargetLoad:
-        load: TargetLoad = await ask(
+        load: TargetLoad = await ask_always(
             self._agent,
             lambda reply: FinishAttempt(
                 target=request.target,
@@ -263,7 +270,7 @@
         )
         result = execution.make_result(load)
         if not request.idempotent and request.key is not None:
-            self._guard.post(execution.make_action_end(result))
+            self._guard.post_always(execution.make_action_end(result))
         if not isinstance(result, ResponseEnd):
             batcher.discard()
         await batcher.finish(result)
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -357,7 +357,9 @@
                     callers.begin_drain()
                     await self._start_host_drain()
                     drain_ends_at_s = self._timers.read_now_s() + self._settings.drain_timeout_s
-                    self._front.inbox.post(EndRequests(at_s=drain_ends_at_s - END_RESPONSE_TIME_S))
+                    self._front.inbox.post_always(
+                        EndRequests(at_s=drain_ends_at_s - END_RESPONSE_TIME_S)
+                    )
                 _log.info(LogEvent.CALLERS_DRAINED, cancelled=callers.cancelled_count)
                 await self._wait_until_idle(drain_ends_at_s)
         finally:
@@ -365,7 +367,7 @@
         _log.info(LogEvent.NODE_STOPPED, host=self._settings.locality.host)
 
     async def _start_host_drain(self) -> None:
-        self._agent.inbox.post(DrainHost())
+        self._agent.inbox.post_always(DrainHost())
         await self._timers.wait_for(self._settings.drain_grace_s)
 
     async def _wait_until_idle(self, ends_at_s: float) -> None:
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -33,7 +33,7 @@
 from samphirespring.process.latest import HighestValue
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
-from samphirespring.process.mailbox import Mailbox, ask
+from samphirespring.process.mailbox import Mailbox, ask_always
 from samphirespring.process.metrics.metric_names import Counter, Gauge
 from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.target_table import ReadPeers, TableMessage
@@ -168,7 +168,7 @@
 
     async def _follow_once(self) -> None:
         stamp_before = self._sections.stamp
-        peers: tuple[Peer, ...] = await ask(
+        peers: tuple[Peer, ...] = await ask_always(
             self._table, lambda reply: ReadPeers(domain=self._domain, reply=reply)
         )
         self._sources = self._chooser.choose(peers, now_s=self._timers.read_now_s())
@@ -246,7 +246,7 @@
             return None
         now_s = self._timers.read_now_s()
         self._chooser.record_notice(address, kind=kind, age_s=notice.age_s, now_s=now_s)
-        self._store.inbox.post(RecordSourceContact(age_s=notice.age_s))
+        self._store.inbox.post_always(RecordSourceContact(age_s=notice.age_s))
         return notice
 
     async def _fetch(self, address: str) -> None:
@@ -261,8 +261,8 @@
         # Peers can fetch the version while this node is still compiling it.
         self._store.newest.post(sections)
         compiled = await self._compiler.compile(sections)
-        self._front.post(UseDocument(compiled=compiled))
-        self._agent.post(UsePolicies(version=compiled.version, services=compiled.services))
+        self._front.post_always(UseDocument(compiled=compiled))
+        self._agent.post_always(UsePolicies(version=compiled.version, services=compiled.services))
         self._sections = sections
         self._saver.newest.post(sections)
         self._metrics.set_gauge(Gauge.DOCUMENT_VERSION, value=sections.stamp.version)
--- a/src/samphirespring/process/document/leader_contact.py
+++ b/src/samphirespring/process/document/leader_contact.py
@@ -64,4 +64,4 @@
         if status.leader_contact_age_s is None:
             return
         self._contact_age_s = status.leader_contact_age_s
-        self._store.inbox.post(RecordSourceContact(age_s=status.leader_contact_age_s))
+        self._store.inbox.post_always(RecordSourceContact(age_s=status.leader_contact_age_s))
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -251,8 +251,8 @@
     def _use_document(self, compiled: CompiledDocument) -> None:
         if self._compiled is None or compiled.version > self._compiled.version:
             self._compiled = compiled
-            self._context.table.post(UseSubsetSize(size=compiled.fleet.subset_size))
-            self._context.table.post(UseServicePolicies(policies=compiled.services))
+            self._context.table.post_always(UseSubsetSize(size=compiled.fleet.subset_size))
+            self._context.table.post_always(UseServicePolicies(policies=compiled.services))
 
     def _make_dump(self) -> FrontDump:
         return FrontDump(
--- a/src/samphirespring/process/local_targets.py
+++ b/src/samphirespring/process/local_targets.py
@@ -34,7 +34,7 @@
 
     def report_load(self, load: TargetLoad) -> None:
         """Pass on the target's load to the table."""
-        self._table.post(UpdateLoad(target=self._candidate.target, load=load))
+        self._table.post_always(UpdateLoad(target=self._candidate.target, load=load))
 
 
 class LocalTargetSource(TargetSource):
@@ -66,4 +66,4 @@
             slot.abandoned = True
             selected = slot.read()
             if selected is not None:
-                self._table.post(ReleaseTarget(target=selected.target))
+                self._table.post_always(ReleaseTarget(target=selected.target))
--- a/src/samphirespring/process/mailbox.py
+++ b/src/samphirespring/process/mailbox.py
@@ -25,6 +25,9 @@
 class Mailbox(Generic[MessageT]):
     """Bounded inbox of one task; posting to a full inbox raises an error and never waits.
 
+    The bound refuses load from outside. Messages that must not be lost are posted with
+    `post_always`.
+
     Messages that are there already are received without a turn of the event loop, which would take
     longer than handling most of them; after `BURST` of them, other tasks get their turn.
 
@@ -58,6 +61,17 @@
         """
         if len(self._messages) >= self.capacity:
             raise InboxFullError(f"inbox of {self.name} holds {self.capacity} messages")
+        self.post_always(message)
+
+    def post_always(self, message: MessageT) -> None:
+        """Append a message even if the inbox is full.
+
+        It is for messages that end what an earlier one began, and for those that come at a rate of
+        this process's own: their number is bounded, and without them the owner's state stays wrong.
+
+        Args:
+            message: The message for the owner.
+        """
         self._messages.append(message)
         if self._arrival is not None:
             self._arrival.set()
@@ -176,6 +190,27 @@
     """
     slot: ReplySlot[ReplyT] = ReplySlot()
     mailbox.post(make_message(slot))
+    return await _wait_for_reply(slot)
+
+
+async def ask_always(
+    mailbox: Mailbox[MessageT], make_message: Callable[[ReplySlot[ReplyT]], MessageT]
+) -> ReplyT:
+    """Post a request that a full inbox doesn't refuse, and wait for its reply.
+
+    Args:
+        mailbox: Inbox of the task that replies.
+        make_message: Makes the request with the given reply slot.
+
+    Returns:
+        The reply.
+    """
+    slot: ReplySlot[ReplyT] = ReplySlot()
+    mailbox.post_always(make_message(slot))
+    return await _wait_for_reply(slot)
+
+
+async def _wait_for_reply(slot: ReplySlot[ReplyT]) -> ReplyT:
     try:
         return await slot.wait()
     finally:
--- a/src/samphirespring/process/path_prober.py
+++ b/src/samphirespring/process/path_prober.py
@@ -120,13 +120,13 @@
             if probe.failure_count == 1:
                 _log.info(LogEvent.PATH_LOST, host=message.host)
                 self._metrics.count(Counter.FRONT_PATHS_LOST)
-                self._table.post(UpdatePath(host=message.host, reached=False))
+                self._table.post_always(UpdatePath(host=message.host, reached=False))
             if probe.failure_count >= MAX_FAILURES:
                 break
             await self._timers.wait_for(REPROBE_INTERVAL_S)
         if probe.failure_count:
             _log.info(LogEvent.PATH_FOUND, host=message.host, failures=probe.failure_count)
-            self._table.post(UpdatePath(host=message.host, reached=True))
+            self._table.post_always(UpdatePath(host=message.host, reached=True))
         del self._probes[message.host]
 
     async def _ping(self, address: str) -> bool:
--- a/src/samphirespring/process/registry/report_sender.py
+++ b/src/samphirespring/process/registry/report_sender.py
@@ -11,7 +11,7 @@
 from samphirespring.process.document.sources import SourceChooser, SourceKind
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion
-from samphirespring.process.mailbox import Mailbox, ask
+from samphirespring.process.mailbox import Mailbox, ask_always
 from samphirespring.process.registry.initial_table import InitialTableSearch
 from samphirespring.process.target_table import ReadPeers, TableMessage
 from samphirespring.process.timers import TimerService
@@ -89,7 +89,7 @@
         """Send reports and return the reply."""
         if batch.known_version == NO_TABLE:
             return await self._send_first(batch)
-        peers: tuple[Peer, ...] = await ask(
+        peers: tuple[Peer, ...] = await ask_always(
             self._table, lambda reply: ReadPeers(domain=self._domain, reply=reply)
         )
         sources = self._chooser.choose(peers, now_s=self._timers.read_now_s())
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -12,7 +12,7 @@
 from samphirespring.process.latest import HighestValue
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
-from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
+from samphirespring.process.mailbox import Mailbox, ReplySlot, ask, ask_always
 from samphirespring.process.registry.cache import RegistryCache
 from samphirespring.process.registry.pending_reports import PendingReports
 from samphirespring.process.registry.report_sender import ReportSender
@@ -187,7 +187,7 @@
             await self._report_own()
 
     async def _report_own(self) -> None:
-        record: HostRecord | None = await ask(
+        record: HostRecord | None = await ask_always(
             self._agent, lambda reply: ReadHostRecord(reply=reply)
         )
         if record is None:
@@ -242,7 +242,7 @@
             # The relay has an older version, so its delta contains nothing new.
             return
         self._cache.apply(delta)
-        self._table.post(ApplyDelta(delta=delta))
+        self._table.post_always(ApplyDelta(delta=delta))
 
     def _read_age_s(self) -> float:
         return max(0.0, self._timers.read_now_s() - self._last_contact_at_s)
--- a/src/samphirespring/process/scheduled_targets.py
+++ b/src/samphirespring/process/scheduled_targets.py
@@ -69,7 +69,7 @@
     def report_load(self, load: TargetLoad) -> None:
         """Pass on the target's load to the scheduler and the own table."""
         self._selection.load = load
-        self._table.post(UpdateLoad(target=self._candidate.target, load=load))
+        self._table.post_always(UpdateLoad(target=self._candidate.target, load=load))
 
 
 class ScheduledTargetSource(TargetSource):
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -413,7 +413,7 @@
             self._reset_subsets()
         if self._traffic_limiter is not None and len(self._hosts) != count_before:
             # Each host runs a front.
-            self._traffic_limiter.post(UseFrontCount(count=len(self._hosts)))
+            self._traffic_limiter.post_always(UseFrontCount(count=len(self._hosts)))
 
     def _apply_complete_table(self, delta: RegistryDelta) -> None:
         reported = {record.locality.host for record in delta.hosts}
