Close a stopping node's own endpoints without waiting for new requests

Cause: a node that stops gives a connection that was just accepted 0.3 s to send its request, so that callers aren't cut off. It gave the same time to the endpoints of its metrics and of its own host, one after the other, while nobody could reach its targets. Change: these endpoints wait for requests in flight only; their clients are on the same host and ask again. Related paths: control hosts close their metrics as soon.

--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -18,7 +18,8 @@
 
 START_POLL_INTERVAL_S = 0.01
 ACCEPTED_REQUEST_TIMEOUT_S = 0.3
-"""Time for a just accepted connection to send a request while the server stops, in seconds."""
+"""Time for a just accepted connection to send a request while the server stops, in seconds, unless
+it only serves clients of the same host, who ask again."""
 
 EXIT_DELAY_S = 0.1
 """Time that the library waits before it looks whether requests are in flight, in seconds."""
@@ -67,6 +68,8 @@
         server: The uvicorn server.
         listeners: The listening sockets, which the server closes.
         drain_timeout_s: Longest time from `stop` to the end of the last request, in seconds.
+        accepted_timeout_s: Time for a just accepted connection to send a request after `stop`, in
+            seconds.
     """
 
     def __init__(
@@ -75,10 +78,12 @@
         listeners: Sequence[socket.socket],
         *,
         drain_timeout_s: float,
+        accepted_timeout_s: float,
     ) -> None:
         self._server = server
         self._listeners = listeners
         self._drain_timeout_s = drain_timeout_s
+        self._accepted_timeout_s = accepted_timeout_s
         self.draining = False
         """Whether responses tell clients to close their connection."""
 
@@ -110,9 +115,9 @@
         self.begin_drain()
         self.stop_listening()
         # A client whose connection was just accepted gets time to send its request.
-        await anyio.sleep(ACCEPTED_REQUEST_TIMEOUT_S)
+        await anyio.sleep(self._accepted_timeout_s)
         self._server.request_exit(
-            timeout_s=self._drain_timeout_s - ACCEPTED_REQUEST_TIMEOUT_S - EXIT_DELAY_S
+            timeout_s=self._drain_timeout_s - self._accepted_timeout_s - EXIT_DELAY_S
         )
 
 
@@ -142,6 +147,7 @@
     more_addresses: Sequence[str] = (),
     read_bounds: Callable[[], ConnectionBounds] = ConnectionBounds,
     drain_timeout_s: float = 5.0,
+    accepted_timeout_s: float = ACCEPTED_REQUEST_TIMEOUT_S,
     tls: ssl.SSLContext | None = None,
     reserved_share: float = 0.0,
 ) -> AsyncIterator[HttpServer]:
@@ -153,6 +159,7 @@
         more_addresses: Further addresses to listen on.
         read_bounds: Returns the bounds of a new connection.
         drain_timeout_s: Longest wait for requests in flight when the context is left, in seconds.
+        accepted_timeout_s: Time for a just accepted connection to send a request then, in seconds.
         tls: Context of the listening socket; None serves plain HTTP.
         reserved_share: Share of the process's descriptors that the connections don't use.
 
@@ -179,7 +186,12 @@
         open_listener(listen_address, reserved_share=reserved_share)
         for listen_address in (address, *more_addresses)
     ]
-    server = HttpServer(_EmbeddedServer(config), listeners, drain_timeout_s=drain_timeout_s)
+    server = HttpServer(
+        _EmbeddedServer(config),
+        listeners,
+        drain_timeout_s=drain_timeout_s,
+        accepted_timeout_s=accepted_timeout_s,
+    )
     draining_app.server = server
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
--- a/src/samphirespring/connection/metrics_http.py
+++ b/src/samphirespring/connection/metrics_http.py
@@ -34,5 +34,5 @@
         yield
         return
     app = Starlette(routes=[Route(PATH, respond, methods=["GET"])])
-    async with serve_http(app, address=address):
+    async with serve_http(app, address=address, accepted_timeout_s=0.0):
         yield
--- a/src/samphirespring/platform/node_adapter.py
+++ b/src/samphirespring/platform/node_adapter.py
@@ -44,5 +44,6 @@
             app,
             address=self._settings.announcement_listen,
             more_addresses=(self._settings.readiness_listen,),
+            accepted_timeout_s=0.0,
         ):
             yield
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -124,7 +124,7 @@
     async def serve_local(self, components: NodeComponents) -> AsyncIterator[None]:
         """Serve announcements, readiness and the dump."""
         app = LocalApp(components.agent, components.tasks, components.front).make_app()
-        async with serve_http(app, address=self._settings.local_listen):
+        async with serve_http(app, address=self._settings.local_listen, accepted_timeout_s=0.0):
             yield
 
 
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -31,3 +31,9 @@
     When a caller disconnects 200 ms after sending a read
     Then the backend servers count 1 cancelled request
     And no node has logged an error
+
+  # Guards against backend servers that nobody reaches while their node does nothing but close its own endpoints.
+  Scenario: A stopping node ends soon after its last attempt
+    When a node without requests is asked to stop
+    Then at most 0.4 s pass between its log lines "host_drained" and "node_stopped"
+    And the stopped node exits with status 0
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
 
 from behave import given, then, when
 
@@ -159,3 +160,19 @@
         log = (context.fleet.example.folder / f"{settings.stem}.log").read_text()
         errors = [line for line in log.splitlines() if '"level": "error"' in line]
         assert not errors, errors[:3]
+
+
+@when("a node without requests is asked to stop")
+def step_stop_idle_node(context):
+    context.settings_path = context.fleet.example.nodes[0]
+    context.exit_status = context.fleet.stop(context.settings_path.stem)
+    _restart_after_scenario(context, context.settings_path)
+
+
+@then('at most {most_s:g} s pass between its log lines "{first}" and "{last}"')
+def step_check_log_times(context, most_s, first, last):
+    log = (context.fleet.example.folder / f"{context.settings_path.stem}.log").read_text()
+    lines = [json.loads(line) for line in log.splitlines() if line.startswith("{")]
+    times = {line["event"]: datetime.fromisoformat(line["timestamp"]) for line in lines}
+    passed_s = (times[last] - times[first]).total_seconds()
+    assert 0.0 <= passed_s <= most_s, passed_s
