End ejections for short faults without a trial, and let them grow only while a target keeps failing

Cause: where short faults are tracked, an ejection for failures lasts 4 s, but the target then had to pass a trial of ten reads (a tenth of the service's reads) and a slow start. Each new fault also doubled the next ejection for ten minutes, though these faults are independent. Change: such an ejection ends without trial and slow start; the agent's risk keeps actions away from a target that still fails, and admits a read a second. It doubles only while no attempt that began since the last one has succeeded. Same cause on related paths: ejections for latency and for small shares of failures, and services without a fault model, keep trial and doubling, as their faults last.

--- a/src/samphirespring/process/detection/target_health.py
+++ b/src/samphirespring/process/detection/target_health.py
@@ -24,7 +24,7 @@
 
 FIRST_EJECTION_SPANS = 1.5
 """Duration of a first ejection for failures, in mean lengths of the short faults of a service. Most
-of them are over by then, and a target that isn't ejected is avoided for as long as it fails."""
+of them are over by then."""
 
 MAX_BACKOFF_LEVEL = 16
 
@@ -52,6 +52,11 @@
 class TargetHealth:
     """Evaluates one target from its observations.
 
+    After an ejection, a target has to pass a trial and a slow start. An ejection for failures is
+    short where the short faults of a service are tracked, and ends without them: requests avoid a
+    target that still fails, by its risk. Such ejections grow only while no response after their end
+    is a success, as each fault may well be a new one.
+
     Args:
         detector: Accumulates the evidence.
         parameters: Parameters of the detection mode.
@@ -75,6 +80,10 @@
         self._ends_at_s: float | None = None
         self._in_cold_start = False
         self._fault_span_s = math.inf
+        self._failed_returns = 0
+        """Short ejections in a row with no success between them."""
+
+        self._is_ejection_short = False
         self._backoff_level = 0
         self._backoff_drops_at_s = math.inf
         self._outcome_count = 0
@@ -179,6 +188,8 @@
         if self._in_cold_start:
             return
         self._detector.observe(observation)
+        if observation.outcome is ObservedOutcome.OK and self._began_after_return(observation):
+            self._failed_returns = 0
         if observation.stalled:
             return
         if observation.outcome is ObservedOutcome.OK or observation.outcome in FAILURES:
@@ -234,11 +245,17 @@
             severity=round(self.read_severity(now_s), 3),
             since_s=self._entered_at_s,
             until_s=self._ends_at_s,
-            ejection_count=self._backoff_level,
+            ejection_count=max(self._backoff_level, self._failed_returns),
             cause=self._cause,
             evidence=self._detector.explain(now_s),
         )
 
+    def _began_after_return(self, observation: Observation) -> bool:
+        """Return whether an attempt began since the latest ejection ended."""
+        if self._state is TargetCondition.UNHEALTHY or observation.latency_s is None:
+            return False
+        return observation.at_s - observation.latency_s >= self._evidence_start_s
+
     def _record_trial_evidence(self, *, failed: bool, now_s: float) -> None:
         if self._state is not TargetCondition.TRIAL:
             return
@@ -270,22 +287,34 @@
 
     def _eject(self, now_s: float) -> None:
         self._cause = self._detector.explain(now_s)
-        duration_s = self._find_first_ejection_s(self._cause.kind) * 2**self._backoff_level
-        self._backoff_level = min(MAX_BACKOFF_LEVEL, self._backoff_level + 1)
+        has_short_faults = math.isfinite(self._fault_span_s)
+        self._is_ejection_short = has_short_faults and self._cause.kind is EvidenceKind.FAILURES
+        duration_s = self._count_short_ejection() if self._is_ejection_short else self._back_off()
         until_s = now_s + min(self._parameters.max_ejection_s, duration_s)
         self._enter(TargetCondition.UNHEALTHY, now_s, until_s=until_s)
 
-    def _find_first_ejection_s(self, kind: EvidenceKind) -> float:
-        if kind is not EvidenceKind.FAILURES:
-            return self._parameters.ejection_s
-        return min(self._parameters.ejection_s, FIRST_EJECTION_SPANS * self._fault_span_s)
+    def _count_short_ejection(self) -> float:
+        """Return the duration of a short ejection in seconds, and count it."""
+        first_s = min(self._parameters.ejection_s, FIRST_EJECTION_SPANS * self._fault_span_s)
+        duration_s = first_s * 2.0**self._failed_returns
+        self._failed_returns = min(MAX_BACKOFF_LEVEL, self._failed_returns + 1)
+        return duration_s
+
+    def _back_off(self) -> float:
+        """Return the duration of another ejection in seconds, and prolong the next one."""
+        duration_s = self._parameters.ejection_s * 2.0**self._backoff_level
+        self._backoff_level = min(MAX_BACKOFF_LEVEL, self._backoff_level + 1)
+        return duration_s
 
     def _end_state(self, now_s: float) -> None:
         if self._state is TargetCondition.UNHEALTHY:
             self._detector.reset()
             self._evidence_start_s = now_s
             self._trial_clean = True
-            self._enter(TargetCondition.TRIAL, now_s, until_s=None)
+            next_state = (
+                TargetCondition.HEALTHY if self._is_ejection_short else TargetCondition.TRIAL
+            )
+            self._enter(next_state, now_s, until_s=None)
         else:
             if self._in_cold_start:
                 self._evidence_start_s = now_s
