Let a stopping node admit attempts that end before its callers are served

Cause: a node that gets SIGTERM serves its callers for 3 s, as they leave it after two failed readiness checks, but refused all work for its target from the first moment on. Class: a capacity that is given up sooner than it has to be. Change: until its callers are served, the agent admits an attempt if three in four of its pool's attempts end by then, and if one and a half times the 97th percentile ends before the process does. From the moment when none would be admitted it reports that it drains. Related paths: a target that announces its own departure, a drain by an operator, and a host without a reference drain at once, as before; requests of callers are as before.

--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -100,7 +100,7 @@
         self._condition_watch = ConditionWatch(metrics)
         self._policies = LocalPolicies()
         self._wait_tasks: TaskGroup
-        self._draining = False
+        self._host_drain: DrainHost | None = None
         self._operator_drain = OperatorDrain()
         self._record: HostRecord | None = None
         self._first_report_at_s = timers.read_now_s() + FIRST_REPORT_WAIT_S
@@ -151,7 +151,7 @@
             case ReadHostRecord():
                 message.reply.send(self._read_record())
             case DrainHost():
-                self._draining = True
+                self._host_drain = message
                 self._refuse_waiting()
             case UsePolicies():
                 self._use_policies(message)
@@ -380,7 +380,11 @@
         return load
 
     def _is_draining(self, target: LocalTarget) -> bool:
-        return self._draining or self._operator_drain.covers(target.target)
+        if self._operator_drain.covers(target.target):
+            return True
+        drain = self._host_drain
+        now_s = self._timers.read_now_s()
+        return drain is not None and not drain.admits(target.evaluator.reference, now_s=now_s)
 
     def _set_drain(self, message: SetDrain) -> bool:
         # A target that isn't known yet, as after a restart, keeps to the drain once it is.
@@ -426,7 +430,7 @@
         now_s = self._timers.read_now_s()
         return AgentDump(
             incarnation=self.incarnation,
-            draining=self._draining or self._operator_drain.whole_host,
+            draining=self._host_drain is not None or self._operator_drain.whole_host,
             document_version=self._policies.version,
             drained_by_operator=self._operator_drain.read_targets(),
             targets=tuple(
--- a/src/samphirespring/process/agent/agent_messages.py
+++ b/src/samphirespring/process/agent/agent_messages.py
@@ -1,5 +1,6 @@
 """Messages to the agent, and its dumps."""
 
+import math
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -20,6 +21,7 @@
 )
 from samphirespring.process.detection.observations import Stall
 from samphirespring.process.detection.probe_schedule import ProbePlan
+from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.detection.target_evaluator import DetectionTerms
 from samphirespring.process.detection.target_health import HealthDump
@@ -33,6 +35,9 @@
 from samphirespring.version.document import ServicePolicy
 from samphirespring.version.ids import DocumentVersion, ServiceName
 
+LONGEST_FACTOR = 1.5
+"""Ratio of the longest attempts of a pool to its 97th percentile."""
+
 HEALTH_PATH = r"^/[!-~]*$"
 """Pattern of a path that is valid in an HTTP request line."""
 
@@ -158,7 +163,31 @@
 
 
 class DrainHost(msgspec.Struct, frozen=True, kw_only=True):
-    """Makes the agent refuse all new attempts."""
+    """Makes the agent refuse new attempts, because the process stops.
+
+    Until the front has served its callers, attempts are admitted that end before that as a rule.
+
+    Attributes:
+        callers_end_at_s: Earliest end of the front's requests, in seconds of monotonic time.
+        ends_at_s: End of the process, in seconds of monotonic time.
+    """
+
+    callers_end_at_s: float = -math.inf
+    ends_at_s: float = -math.inf
+
+    def admits(self, reference: PoolReference | None, *, now_s: float) -> bool:
+        """Return whether an attempt on a target may still start.
+
+        Args:
+            reference: Latencies of the target's pool; None if they aren't known.
+            now_s: Monotonic time, in seconds.
+        """
+        if reference is None:
+            return False
+        prolongs_stop = now_s + reference.read_p75_s() > self.callers_end_at_s
+        longest_s = LONGEST_FACTOR * reference.read_p97_s()
+        may_be_cut_off = now_s + longest_s > self.ends_at_s
+        return not prolongs_stop and not may_be_cut_off
 
 
 class SetDrain(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -355,8 +355,7 @@
                     await stop.wait()
                     self._components.readiness.mark_stopping()
                     callers.begin_drain()
-                    await self._start_host_drain()
-                    drain_ends_at_s = self._timers.read_now_s() + self._settings.drain_timeout_s
+                    drain_ends_at_s = await self._start_host_drain()
                     self._front.inbox.post_always(
                         EndRequests(at_s=drain_ends_at_s - END_RESPONSE_TIME_S)
                     )
@@ -366,9 +365,19 @@
             self._link_pool.close()
         _log.info(LogEvent.NODE_STOPPED, host=self._settings.locality.host)
 
-    async def _start_host_drain(self) -> None:
-        self._agent.inbox.post_always(DrainHost())
-        await self._timers.wait_for(self._settings.drain_grace_s)
+    async def _start_host_drain(self) -> float:
+        """Drain the agent, serve callers for the grace, and return the end of the drain.
+
+        Returns:
+            The end, in seconds of monotonic time.
+        """
+        callers_end_at_s = self._timers.read_now_s() + self._settings.drain_grace_s
+        ends_at_s = callers_end_at_s + self._settings.drain_timeout_s
+        self._agent.inbox.post_always(
+            DrainHost(callers_end_at_s=callers_end_at_s, ends_at_s=ends_at_s)
+        )
+        await self._timers.wait_until(callers_end_at_s)
+        return ends_at_s
 
     async def _wait_until_idle(self, ends_at_s: float) -> None:
         """Wait until no attempt runs at the targets of this host.
--- a/src/samphirespring/process/detection/target_evaluator.py
+++ b/src/samphirespring/process/detection/target_evaluator.py
@@ -41,6 +41,11 @@
         """Health of the target under the current policy."""
         return self._health
 
+    @property
+    def reference(self) -> PoolReference | None:
+        """The latest reference of the target's pool; None before the first one."""
+        return None if self._terms is None else self._terms.reference
+
     def use_terms(self, terms: DetectionTerms | None, *, now_s: float) -> None:
         """Apply new terms; another mode or slow start discards the evidence.
 
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -1,3 +1,5 @@
+import math
+
 import anyio
 from behave import given, then, when
 from hypothesis import given as given_random
@@ -8,11 +10,15 @@
 from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue, Waiter
 from samphirespring.process.agent.agent_messages import DrainHost, UsePolicies
 from samphirespring.process.detection.classification import ResponseInspector
+from samphirespring.process.detection.reference import PoolReference
+from samphirespring.process.detection.summaries import encode_log_latency
+from samphirespring.process.detection.target_evaluator import DetectionTerms
 from samphirespring.process.mailbox import ReplySlot
+from samphirespring.process.states import TargetPhase
 from samphirespring.request.messages import Header, ResponseHead
 from samphirespring.request.states import RefusalCode
 from samphirespring.version.document import ResponseCheck, ServicePolicy
-from samphirespring.version.states import PriorityClass
+from samphirespring.version.states import DetectionMode, PriorityClass
 
 URGENT = (PriorityClass.INTERACTIVE, PriorityClass.ACTION)
 HELPER = PriorityClass.HELPER
@@ -23,6 +29,53 @@
     context.load = LoadedAgent(slots=slots, service_s=service / 1_000)
 
 
+@given(
+    "a target with {slots:d} slots whose pool takes {p75:d} ms for 3 in 4 attempts, and {p97:d} ms"
+    " for nearly all"
+)
+def step_target_with_reference(context, slots, p75, p97):
+    middle, last = (encode_log_latency(math.log(ms / 1_000)) for ms in (p75, p97))
+    reference = PoolReference(middle, middle, middle, last, last, 0)
+    terms = DetectionTerms(mode=DetectionMode.FAST, slow_start_s=1.0, reference=reference)
+    context.load = LoadedAgent(slots=slots, service_s=0.01, terms=terms)
+
+
+@when(
+    "its agent is to drain with {callers:d} ms for callers and {whole:d} ms in all, and attempts"
+    " arrive every {interval:d} ms"
+)
+def step_drain_in_time(context, callers, whole, interval):
+    load = context.load
+    context.drain_log = []
+
+    async def main():
+        await load.send(PriorityClass.INTERACTIVE)
+        load.admitted.clear()
+        now_s = load.timers.read_now_s()
+        load.agent.inbox.post(
+            DrainHost(callers_end_at_s=now_s + callers / 1_000, ends_at_s=now_s + whole / 1_000)
+        )
+        for elapsed in range(0, whole, interval):
+            result = await load.send(PriorityClass.INTERACTIVE)
+            (target,) = (await load.agent.dump()).targets
+            context.drain_log.append((elapsed, isinstance(result, Admission), target.load.phase))
+            await anyio.sleep(
+                max(0.0, now_s + (elapsed + interval) / 1_000 - load.timers.read_now_s())
+            )
+
+    load.run(main)
+
+
+@then("it admits them for {span:d} ms, and reports from then on that the target drains")
+def step_check_drain(context, span):
+    # The latencies of a pool are known in steps.
+    admitted = [elapsed for elapsed, is_admitted, _ in context.drain_log if is_admitted]
+    assert admitted == list(range(0, len(admitted) * 100, 100)), admitted
+    assert abs(len(admitted) * 100 - span) <= 100, (len(admitted), span)
+    phases = [phase for _, is_admitted, phase in context.drain_log if not is_admitted]
+    assert set(phases) == {TargetPhase.DRAINING}, phases
+
+
 @when("attempts arrive at {rate:d} per second for {duration:d} s, half of them helpers")
 def step_double_load(context, rate, duration):
     classes = (HELPER, PriorityClass.INTERACTIVE, HELPER, PriorityClass.ACTION)
--- a/tests/front/agent_load.py
+++ b/tests/front/agent_load.py
@@ -27,11 +27,12 @@
 class LoadedAgent:
     """Sends attempts to an agent, and counts admissions and refusals by priority class."""
 
-    def __init__(self, *, slots, service_s, announced_slots=None):
+    def __init__(self, *, slots, service_s, announced_slots=None, terms=None):
         self.timers = VirtualTimerService()
         self.slots = slots
         self.announced_slots = announced_slots
         self.service_s = service_s
+        self.terms = terms
         self.admitted = Counter()
         self.refused = Counter()
         self.running = 0
@@ -78,9 +79,20 @@
         self.most_running = max(self.most_running, self.running)
         await anyio.sleep(self.service_s)
         self.running -= 1
-        await ask(self.agent.inbox, lambda reply: make_finish_message(reply, self.service_s))
+        await ask(self.agent.inbox, lambda reply: self.make_finish_message(reply))
         return result
 
+    def make_finish_message(self, reply):
+        """Return the message that releases a slot."""
+        return FinishAttempt(
+            target="t",
+            attempt="a",
+            latency_s=self.service_s,
+            outcome=None,
+            terms=self.terms,
+            reply=reply,
+        )
+
     async def send_steadily(self, classes, *, rate, duration_s):
         """Send attempts of the classes in turn at a steady rate."""
         count = round(rate * duration_s)
@@ -101,13 +113,6 @@
     )
 
 
-def make_finish_message(reply, duration_s):
-    """Return the message that releases a slot."""
-    return FinishAttempt(
-        target="t", attempt="a", latency_s=duration_s, outcome=None, terms=None, reply=reply
-    )
-
-
 def make_attempt(priority, *, service, remaining_ms):
     """Return an attempt for the only target."""
     return AttemptRequest(
