--- a/src/samphirespring/connection/http_server.py
+++ b/src/samphirespring/connection/http_server.py
@@ -57,9 +57,19 @@
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Wait for the requests in flight, and count those that the timeout cancels."""
+        if not self.server_state.connections and not self.server_state.tasks:
+            self._close_listeners(sockets or ())
+            return
         await super().shutdown(sockets)
         self.cancelled_count = len(self.server_state.tasks)
 
+    def _close_listeners(self, sockets: Sequence[socket.socket]) -> None:
+        """Stop listening; the library takes a tenth of a second for it, also without a client."""
+        for server in self.servers:
+            server.close()
+        for listener in sockets:
+            listener.close()
+
 
 class HttpServer:
     """One listening HTTP server of the process.
