Present a host with targets that are usable again where targets are selected, ahead of the registry

Cause: a node that was restarted is known to the others once its record has come to the registry's leader and down the tree of relays: 1.8 s after its start on average, while its target serves. The hosts that select targets for their neighbours need it first. Change: when a host's record has a usable target that it hadn't before (a restart, the end of an ejection), the host sends the record to the host that selects for the service in its domain or region. That one applies it only to a host that its table has, and only if it is newer; adding and removing hosts stays with the registry. Peers of earlier versions don't know the method, and hear from the registry. Related paths: the same goes for targets whose ejection has ended, as their host's record says so. Tests: scheduling, 'A host that selects for others hears of a target that is usable again' (distinct only with the presentation) and 'A host presents itself once for each target that becomes usable'.

--- a/src/samphirespring/connection/registry_link.py
+++ b/src/samphirespring/connection/registry_link.py
@@ -61,6 +61,10 @@
     """Time since the replying process's last contact with the registry's leader, in seconds."""
 
 
+class RecordReceipt(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Reply to `PRESENT_HOST`."""
+
+
 class RecordDeparture(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Records that a target of a host has left."""
 
@@ -99,3 +103,8 @@
     request_type=ReadDepartures,
     reply_type=DeparturesReply,
 )
+
+PRESENT_HOST: UnaryMethod[HostRecord, RecordReceipt] = UnaryMethod(
+    path="/samphire.Table/PresentHost", request_type=HostRecord, reply_type=RecordReceipt
+)
+"""Presents a host to one that selects targets for others, ahead of the registry."""
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -33,7 +33,7 @@
 from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.connection.operation_link import DRAIN, DUMP
 from samphirespring.connection.path_link import PING, handle_ping
-from samphirespring.connection.registry_link import REPORT_HOSTS
+from samphirespring.connection.registry_link import PRESENT_HOST, REPORT_HOSTS
 from samphirespring.process.action_guard import ActionGuard
 from samphirespring.process.action_runner import ActionRunner
 from samphirespring.process.agent.agent import Agent
@@ -61,6 +61,7 @@
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
 from samphirespring.process.registry.departure_client import RegistryDepartures
+from samphirespring.process.registry.host_presenter import HostPresenter
 from samphirespring.process.registry.initial_table import InitialTableSearch
 from samphirespring.process.registry.report_sender import TreeReportSender
 from samphirespring.process.registry_client import RegistryClient
@@ -191,7 +192,7 @@
             generator=generator,
         )
         traffic_limiter = TrafficLimiter(timers=self._timers, generator=generator)
-        target_table = TargetTable(
+        self._target_table = target_table = TargetTable(
             NearestOfTwoSelector(generator),
             locality=locality,
             timers=self._timers,
@@ -287,6 +288,7 @@
             table=target_table.inbox,
             timers=self._timers,
             interval_s=settings.report_interval_s,
+            presenter=HostPresenter(table=target_table.inbox, links=self._link_pool),
             directory=control_directory,
             hints=document_follower.hints,
         )
@@ -402,6 +404,7 @@
             UnaryHandler(FETCH_DELTA, self._document_store.fetch),
             UnaryHandler(REPORT_IN_FORCE, self._document_store.record_report),
             UnaryHandler(REPORT_HOSTS, self._registry_client.relay),
+            UnaryHandler(PRESENT_HOST, self._target_table.accept_presented),
             UnaryHandler(DRAIN, self._operations.set_drain),
             UnaryHandler(DUMP, self._operations.read_dump),
         ]
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -35,6 +35,8 @@
     PATH_LOST = "path_lost"
     PATH_FOUND = "path_found"
     CHANNEL_REPLACED = "channel_replaced"
+    HOST_PRESENTED = "host_presented"
+    HOST_NOT_PRESENTED = "host_not_presented"
     DRAIN_SET = "drain_set"
     TARGET_LEFT = "target_left"
     DEPARTURES_READ = "departures_read"
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -2,6 +2,7 @@
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
 from samphirespring.connection.registry_link import BatchReply, HostReport, ReportBatch
 from samphirespring.process.agent.agent_messages import AgentMessage, ReadHostRecord
@@ -14,6 +15,7 @@
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask, ask_always
 from samphirespring.process.registry.cache import RegistryCache
+from samphirespring.process.registry.host_presenter import HostPresenter
 from samphirespring.process.registry.pending_reports import PendingReports
 from samphirespring.process.registry.report_sender import ReportSender
 from samphirespring.process.target_table import ApplyDelta, TableMessage
@@ -75,6 +77,7 @@
         table: Inbox of the target table.
         timers: The timer service.
         interval_s: Interval between reports of this host, in seconds.
+        presenter: Presents the host where targets are selected; None leaves it to the registry.
         directory: Addresses of the control hosts; this task updates them.
         hints: Receives the newest document version that the registry reports; None to ignore it.
     """
@@ -87,11 +90,14 @@
         table: Mailbox[TableMessage],
         timers: TimerService,
         interval_s: float,
+        presenter: HostPresenter | None = None,
         directory: ControlDirectory | None = None,
         hints: HighestValue[VersionHint] | None = None,
     ) -> None:
         self._hints = hints
+        self._presentations: TaskGroup
         self._document = NO_STAMP
+        self._presenter = presenter
         self._directory = directory or ControlDirectory(())
         self.inbox: Mailbox[RelayReports] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._sender = sender
@@ -115,6 +121,7 @@
     async def run(self) -> None:
         """Report, relay and forward until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self._presentations = tasks
             tasks.start_soon(self._serve_relayed)
             await self._report_own()
             await self._forward()
@@ -192,6 +199,8 @@
         )
         if record is None:
             return
+        if self._presenter is not None and self._presenter.has_news(record):
+            self._presentations.start_soon(self._presenter.present, record)
         order = (record.incarnation, record.sequence)
         self._own_host = record.locality.host
         self._pending.add(
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from samphirespring.connection.registry_link import RecordReceipt
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.models import make_fault_model
 from samphirespring.process.document.relay_tree import Peer
@@ -24,7 +25,7 @@
     make_single_part_list,
 )
 from samphirespring.process.registry.held_hosts import HeldHosts
-from samphirespring.process.registry.record_check import select_valid
+from samphirespring.process.registry.record_check import find_problem, select_valid
 from samphirespring.process.service_pool import ServicePool
 from samphirespring.process.target_advice import TargetAdvice, TargetAdviceDump
 from samphirespring.process.targets import (
@@ -127,6 +128,15 @@
     reply: ReplySlot[Peer | None]
     """The host; None if this process's own table should."""
 
+    excluded: HostId | None = None
+    """Host that isn't to be found."""
+
+
+class UsePresentedHost(msgspec.Struct, frozen=True, kw_only=True):
+    """Applies a record that its host sent, ahead of the registry."""
+
+    record: HostRecord
+
 
 class ReadPeers(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the hosts of one failure domain."""
@@ -147,6 +157,7 @@
     | ReadTablePage
     | ReadPeers
     | FindScheduler
+    | UsePresentedHost
 )
 
 
@@ -232,10 +243,23 @@
                 case ReadTablePage():
                     self._reply_with_page(message)
                 case FindScheduler():
-                    message.reply.send(self._find_scheduler(message.service))
+                    message.reply.send(
+                        self._find_scheduler(message.service, excluded=message.excluded)
+                    )
+                case UsePresentedHost():
+                    self._use_presented(message.record)
                 case ReadPeers():
                     message.reply.send(self._list_peers(message.domain))
 
+    async def accept_presented(self, record: HostRecord) -> RecordReceipt:
+        """Accept the record of a host that has usable targets again.
+
+        Args:
+            record: The record, as its host sent it.
+        """
+        self.inbox.post_always(UsePresentedHost(record=record))
+        return RecordReceipt()
+
     async def dump(self) -> TargetTableDump:
         """Return the table's state at one moment."""
         return await ask(self.inbox, lambda reply: ReadTableDump(reply=reply))
@@ -286,14 +310,19 @@
             if record.locality.failure_domain == domain
         )
 
-    def _find_scheduler(self, service: ServiceName) -> Peer | None:
+    def _find_scheduler(self, service: ServiceName, *, excluded: HostId | None) -> Peer | None:
         pool = self._pools.get(service)
         # Without a fault model, what one front knows of a target is as good as what all know.
         if pool is None or service not in self._models:
             return None
         return choose_scheduler(
             service,
-            (c for c in pool.list_candidates() if self._advice.is_reachable(c.locality.host)),
+            (
+                candidate
+                for candidate in pool.list_candidates()
+                if self._advice.is_reachable(candidate.locality.host)
+                and candidate.locality.host != excluded
+            ),
             locality=self._locality,
         )
 
@@ -415,6 +444,16 @@
             # Each host runs a front.
             self._traffic_limiter.post_always(UseFrontCount(count=len(self._hosts)))
 
+    def _use_presented(self, record: HostRecord) -> None:
+        """Apply a newer record of a host that the registry has; only it adds and removes hosts."""
+        known = self._hosts.get(record.locality.host)
+        if known is None or find_problem(record) is not None:
+            return
+        if (record.incarnation, record.sequence) <= (known.incarnation, known.sequence):
+            return
+        _log.info(LogEvent.HOST_PRESENTED, host=record.locality.host)
+        self._put_host(record)
+
     def _apply_complete_table(self, delta: RegistryDelta) -> None:
         reported = {record.locality.host for record in delta.hosts}
         gone = self._held.update_missing(
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -44,6 +44,25 @@
     When a front opens a connection to it
     Then the host's kernel closes the connection 8 s to 15 s after the front's host was lost
 
+  # Guards against targets that get nothing, though their node is back, until the registry's changes have come.
+  Scenario Outline: A host that selects for others hears of a target that is usable again from the target's host
+    Given a host that selects among 10 targets with 1 slot each
+    And the registry has <registry>
+    When the host of the tenth target presents it as serving, with <order>
+    And 2 fronts select 5 targets each at the same time
+    Then the 10 targets are <distinct>
+
+    Examples:
+      | registry                        | order                   | distinct     |
+      | the tenth target as draining    | a later start           | distinct     |
+      | the tenth target as draining    | the same start and number | not distinct |
+      | no host of the tenth target     | a later start           | not distinct |
+
+  Scenario: A host presents itself once for each target that becomes usable
+    Given a host with one target, which serves
+    Then it presents itself when its target is "new", "drained and back" and "ejected and back"
+    And not when its target is "as before", "ejected" or "gone"
+
   # Guards against a table that stays behind its inbox: it made each selection in full, also for fronts that had
   # stopped waiting and selected by their own tables.
   Scenario: A selection that nobody waits for any more isn't made
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -13,13 +13,16 @@
 from samphirespring.connection.attempt_channel import RUN_ATTEMPTS
 from samphirespring.connection.channel_server import AttemptChannelServer
 from samphirespring.connection.link_pool import LinkPool
-from samphirespring.connection.link_server import DuplexHandler, serve_link
+from samphirespring.connection.link_server import DuplexHandler, UnaryHandler, serve_link
 from samphirespring.connection.listener import Listener
+from samphirespring.connection.registry_link import PRESENT_HOST
 from samphirespring.process.attempt_channels import AttemptChannels
 from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.mailbox import ReplySlot
+from samphirespring.process.registry.host_presenter import HostPresenter
 from samphirespring.process.scheduled_targets import REPLY_TIMEOUT_S, ScheduledTargetSource
 from samphirespring.process.service_pool import ServicePool
+from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.target_table import (
     ApplyDelta,
     SelectTarget,
@@ -159,7 +162,10 @@
                 async with anyio.create_task_group() as self.group, AsyncExitStack() as self.stack:
                     if not self.stands_still:
                         self.group.start_soon(self.run_table)
-                    await self.stack.enter_async_context(serve_link([channels], address=ADDRESS))
+                    presented = UnaryHandler(PRESENT_HOST, self.table.accept_presented)
+                    await self.stack.enter_async_context(
+                        serve_link([channels, presented], address=ADDRESS)
+                    )
                     result = await call(self)
                     await self.stack.aclose()
                     self.group.cancel_scope.cancel()
@@ -257,6 +263,85 @@
     assert len(set(context.selected)) == len(context.selected) == count, context.selected
 
 
+@then("the {count:d} targets are not distinct")
+def step_check_not_distinct(context, count):
+    assert len(set(context.selected)) < len(context.selected) == count, context.selected
+
+
+def replace_phase(record, phase):
+    targets = tuple(
+        msgspec.structs.replace(target, load=msgspec.structs.replace(target.load, phase=phase))
+        for target in record.targets
+    )
+    return msgspec.structs.replace(record, targets=targets)
+
+
+@given("the registry has {registry}")
+def step_change_registry(context, registry):
+    table = context.scheduling.table
+    record = context.scheduling.records[-1]
+    if registry.startswith("no host"):
+        delta = RegistryDelta(since=2, version=3, complete=False, gone=(record.locality.host,))
+    else:
+        drained = replace_phase(record, TargetPhase.DRAINING)
+        delta = RegistryDelta(since=2, version=3, complete=False, hosts=(drained,))
+    table.inbox.post(ApplyDelta(delta=delta))
+
+
+@when("the host of the tenth target presents it as serving, with {order}")
+def step_present(context, order):
+    record = context.scheduling.records[-1]
+    if order == "a later start":
+        record = msgspec.structs.replace(record, incarnation=record.incarnation + 1)
+
+    async def before(scheduling):
+        # The presenting host's own table selects nothing itself.
+        links = LinkPool(capacity=1)
+        scheduling.stack.callback(links.close)
+        table = scheduling.make_table(record.locality.host)
+        scheduling.group.start_soon(table.run)
+        await HostPresenter(table=table.inbox, links=links).present(record)
+        await anyio.sleep(SETTLE_S)
+
+    context.before = before
+
+
+@given("a host with one target, which serves")
+def step_make_presenter(context):
+    context.presenter = HostPresenter(table=None, links=None)
+    context.record = HostRecord(
+        locality=make_locality("r1/a", "h0"),
+        incarnation=1,
+        link_address=ADDRESS,
+        sequence=1,
+        targets=(TargetRecord(target="t0", service=SERVICE, load=LOAD_OF_ONE_SLOT),),
+    )
+
+
+def eject(record):
+    (target,) = record.targets
+    load = msgspec.structs.replace(target.load, condition=TargetCondition.UNHEALTHY)
+    return msgspec.structs.replace(record, targets=(msgspec.structs.replace(target, load=load),))
+
+
+@then('it presents itself when its target is "new", "drained and back" and "ejected and back"')
+def step_check_news(context):
+    record, has_news = context.record, context.presenter.has_news
+    assert has_news(record)
+    assert not has_news(replace_phase(record, TargetPhase.DRAINING))
+    assert has_news(record)
+    assert not has_news(eject(record))
+    assert has_news(record)
+
+
+@then('not when its target is "as before", "ejected" or "gone"')
+def step_check_no_news(context):
+    record, has_news = context.record, context.presenter.has_news
+    assert not has_news(record)
+    assert not has_news(eject(record))
+    assert not has_news(msgspec.structs.replace(record, targets=()))
+
+
 @when(
     "{count:d} selections are asked for, {more:d} are asked for and given up, and the table goes on"
 )
