--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -26,7 +26,7 @@
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ForwardingSlot, InboxFullError, Mailbox, ReplySlot
-from samphirespring.process.target_table import (
+from samphirespring.process.target_table_messages import (
     ReleaseTarget,
     SelectTarget,
     TableMessage,
--- a/src/samphirespring/process/local_targets.py
+++ b/src/samphirespring/process/local_targets.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 
 from samphirespring.process.mailbox import Mailbox, ReplySlot
-from samphirespring.process.target_table import (
+from samphirespring.process.target_table_messages import (
     ReleaseTarget,
     SelectTarget,
     TableMessage,
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -13,7 +13,7 @@
 from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion, TargetId
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
-from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask
+from samphirespring.process.mailbox import InboxFullError, Mailbox, ask
 from samphirespring.process.paging import (
     DumpList,
     DumpPage,
@@ -27,21 +27,36 @@
 from samphirespring.process.registry.held_hosts import HeldHosts
 from samphirespring.process.registry.record_check import find_problem, select_valid
 from samphirespring.process.service_pool import ServicePool
-from samphirespring.process.target_advice import TargetAdvice, TargetAdviceDump
+from samphirespring.process.target_advice import TargetAdvice
+from samphirespring.process.target_table_messages import (
+    ApplyDelta,
+    FindScheduler,
+    ProbePath,
+    ReadPeers,
+    ReadTableDump,
+    ReadTablePage,
+    ReleaseTarget,
+    SelectTarget,
+    TableMessage,
+    TargetTableDump,
+    UpdateLoad,
+    UpdatePath,
+    UsePresentedHost,
+    UseServicePolicies,
+    UseSubsetSize,
+)
 from samphirespring.process.targets import (
     HostRecord,
     Locality,
     RegistryDelta,
-    TargetLoad,
     TargetRecord,
 )
-from samphirespring.process.tasks import OwnerTask, PagedDump
+from samphirespring.process.tasks import OwnerTask
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage, UseFrontCount
 from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.scheduler_choice import choose_scheduler
 from samphirespring.request.selection import Candidate, Selector, group_by_distance
-from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import FleetSection, ServicePolicy
 from samphirespring.version.ids import ServiceName
 
@@ -51,128 +66,6 @@
 _log = EventLog()
 
 
-class SelectTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests a target for an attempt; the requester posts `ReleaseTarget` when it ends."""
-
-    terms: SelectionTerms
-    reply: ReplySlot[Candidate | None]
-    locality: Locality | None = None
-    """Locality of the front that sends the attempt; None for this process's own front."""
-
-    is_shared: bool = False
-    """Whether several fronts ask this table, which then explores less."""
-
-
-class UpdateLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """Reports a target's load, which its agent sent with a response."""
-
-    target: TargetId
-    load: TargetLoad
-
-
-class ReleaseTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """Reports the end of an attempt of this front on a selected target."""
-
-    target: TargetId
-
-
-class UseSubsetSize(msgspec.Struct, frozen=True, kw_only=True):
-    """Sets how many targets of a service the front uses if the service has more."""
-
-    size: int
-
-
-class UseServicePolicies(msgspec.Struct, frozen=True, kw_only=True):
-    """Applies the policies of all services."""
-
-    policies: Mapping[ServiceName, ServicePolicy]
-
-
-class UpdatePath(msgspec.Struct, frozen=True, kw_only=True):
-    """Reports whether this front can reach a host."""
-
-    host: HostId
-    reached: bool
-
-
-class ProbePath(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests that the path prober checks whether this front can reach a host."""
-
-    host: HostId
-    link_address: str
-
-
-class ApplyDelta(msgspec.Struct, frozen=True, kw_only=True):
-    """Applies changes of the registry."""
-
-    delta: RegistryDelta
-
-
-class ReadTableDump(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests the table's state."""
-
-    reply: ReplySlot["TargetTableDump"]
-
-
-class ReadTablePage(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests a page of one of the table's long lists."""
-
-    request: PageRequest
-    reply: ReplySlot[DumpPage[object]]
-
-
-class FindScheduler(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests the host whose table should select the targets of a service."""
-
-    service: ServiceName
-    reply: ReplySlot[Peer | None]
-    """The host; None if this process's own table should."""
-
-    excluded: HostId | None = None
-    """Host that isn't to be found."""
-
-
-class UsePresentedHost(msgspec.Struct, frozen=True, kw_only=True):
-    """Applies a record that its host sent, ahead of the registry."""
-
-    record: HostRecord
-
-
-class ReadPeers(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests the hosts of one failure domain."""
-
-    domain: FailureDomainName
-    reply: ReplySlot[tuple[Peer, ...]]
-
-
-TableMessage = (
-    SelectTarget
-    | ReleaseTarget
-    | UpdateLoad
-    | UpdatePath
-    | UseSubsetSize
-    | UseServicePolicies
-    | ApplyDelta
-    | ReadTableDump
-    | ReadTablePage
-    | ReadPeers
-    | FindScheduler
-    | UsePresentedHost
-)
-
-
-class TargetTableDump(PagedDump, frozen=True, kw_only=True):
-    """State of the target table."""
-
-    registry_version: RegistryVersion
-    hosts: tuple[HostDump, ...]
-    advice: TargetAdviceDump
-    held: tuple[EntryKey, ...]
-    """Hosts missing from the registry's latest complete table that are kept for a limited time."""
-
-    waiting_messages: int
-
-
 class TargetTable(OwnerTask):
     """Owns the front's view of all targets, and selects targets for attempts.
 
--- a/tests/benchmarks/capacity.py
+++ b/tests/benchmarks/capacity.py
@@ -26,7 +26,10 @@
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.state_machine import LocalProposer
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.target_table import ApplyDelta, TargetTable
+from samphirespring.process.target_table import TargetTable
+from samphirespring.process.target_table_messages import (
+    ApplyDelta,
+)
 from samphirespring.process.targets import (
     HostRecord,
     Locality,
--- a/tests/features/steps/dump_steps.py
+++ b/tests/features/steps/dump_steps.py
@@ -24,10 +24,10 @@
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.target_table import (
+from samphirespring.process.target_table import TargetTable
+from samphirespring.process.target_table_messages import (
     ApplyDelta,
     SelectTarget,
-    TargetTable,
     UseServicePolicies,
 )
 from samphirespring.process.targets import (
--- a/tests/features/steps/paths_steps.py
+++ b/tests/features/steps/paths_steps.py
@@ -12,11 +12,11 @@
 from samphirespring.process.path_prober import PathProber
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.target_table import (
+from samphirespring.process.target_table import TargetTable
+from samphirespring.process.target_table_messages import (
     ApplyDelta,
     ReleaseTarget,
     SelectTarget,
-    TargetTable,
     UpdateLoad,
 )
 from samphirespring.process.targets import (
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -23,10 +23,10 @@
 from samphirespring.process.scheduled_targets import REPLY_TIMEOUT_S, ScheduledTargetSource
 from samphirespring.process.service_pool import ServicePool
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.target_table import (
+from samphirespring.process.target_table import TargetTable
+from samphirespring.process.target_table_messages import (
     ApplyDelta,
     SelectTarget,
-    TargetTable,
     UseServicePolicies,
 )
 from samphirespring.process.targets import HostRecord, Locality, RegistryDelta, TargetRecord
--- a/tests/front/stalling_pool.py
+++ b/tests/front/stalling_pool.py
@@ -15,11 +15,11 @@
 from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.mailbox import ask
 from samphirespring.process.runtime import run_tasks
-from samphirespring.process.target_table import (
+from samphirespring.process.target_table import TargetTable
+from samphirespring.process.target_table_messages import (
     ApplyDelta,
     ReleaseTarget,
     SelectTarget,
-    TargetTable,
     UpdateLoad,
     UseServicePolicies,
 )
