Acknowledge a change once a quorum of control hosts knows that it is committed

Cause: a change was acknowledged when the leader knew that a quorum had synced it. The others learned of the commit from the next message. Change: the leader waits for one round of heartbeats, which carry the commit, to a quorum, for 0.3 s at most; the change is durable anyway. Related paths: changes of single sections and of the whole document.

--- a/src/samphirespring/process/document/service.py
+++ b/src/samphirespring/process/document/service.py
@@ -37,7 +37,9 @@
 from samphirespring.process.document.packing import pack_text, unpack_text
 from samphirespring.process.document.session import OperatorSession
 from samphirespring.process.document.state_machine import DocumentStateMachine
-from samphirespring.process.errors import InternalError
+from samphirespring.process.errors import InternalError, SamphireError
+from samphirespring.process.logs.event_log import EventLog
+from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.replication.state_machine import NoQuorumError, Proposer
 from samphirespring.process.timers import TimerService
 from samphirespring.version.access import (
@@ -56,9 +58,15 @@
 from samphirespring.version.section_set import SectionSet, StoredSection
 from samphirespring.version.stamp import NO_STAMP, DocumentStamp
 
+SPREAD_TIMEOUT_S = 0.3
+"""Longest wait until a quorum has heard of a commit, in seconds; a round between regions takes
+less."""
+
 DIFF_INDENT = 2
 DIFF_CONTEXT_LINES = 3
 
+_log = EventLog()
+
 
 class DocumentService:
     """Operations on the document through one control host.
@@ -144,6 +152,7 @@
         result = await self._proposer.propose(command)
         match result:
             case DocumentReplaced():
+                await self._spread_commit()
                 return result.revision
             case RevisionConflict():
                 raise RevisionConflictError(f"the newest revision is {result.newest}")
@@ -268,7 +277,9 @@
             team=session.team,
             at_ns=self._timers.read_wall_ns(),
         )
-        return _unwrap_result(await self._proposer.propose(command))
+        accepted = _unwrap_result(await self._proposer.propose(command))
+        await self._spread_commit()
+        return accepted
 
     async def read_history(
         self, session: OperatorSession, *, section: SectionName | None, limit: int, local: bool
@@ -288,6 +299,18 @@
         history = self._state_machine.history
         return await self._proposer.read(lambda: history.read_records(section=section, limit=limit))
 
+    async def _spread_commit(self) -> None:
+        """Wait until a quorum has heard of the latest commit, which is durable in any case.
+
+        Otherwise the nodes would get an acknowledged change only after an election if the leader
+        were lost at this moment.
+        """
+        with self._timers.move_on_at(self._timers.read_now_s() + SPREAD_TIMEOUT_S):
+            try:
+                await self._proposer.confirm_leadership(by_heartbeat_round=True)
+            except SamphireError as error:
+                _log.info(LogEvent.COMMIT_NOT_SPREAD, code=error.code.value)
+
     async def compare(
         self,
         name: SectionName,
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -92,6 +92,7 @@
     DOCUMENT_HINT_NOT_FOLLOWED = "document_hint_not_followed"
     DOCUMENT_FILE_INVALID = "document_file_invalid"
     DOCUMENT_SAVE_FAILED = "document_save_failed"
+    COMMIT_NOT_SPREAD = "commit_not_spread"
     DOCUMENT_NOT_REPLACED = "document_not_replaced"
     DOCUMENT_NOT_INITIALIZED = "document_not_founded"
     INITIAL_DOCUMENT_INVALID = "initial_document_invalid"
