--- a/src/samphirespring/connection/listener.py
+++ b/src/samphirespring/connection/listener.py
@@ -64,6 +64,7 @@
 
         Raises:
             BlockingIOError: No connection waits, or the batch has ended.
+            ConnectionAbortedError: The client has closed the connection already.
             OSError: The connection can't be accepted.
         """
         if self._is_exhausted or self._accepted_in_row >= BATCH:
@@ -84,10 +85,19 @@
             raise
         self._last_descriptor = connection.fileno()
         self._accepted_in_row += 1
-        if self._dead_peers is not None:
-            self._dead_peers.apply(connection)
+        self._limit_silence(connection)
         return connection, peer
 
+    def _limit_silence(self, connection: socket.socket) -> None:
+        if self._dead_peers is None:
+            return
+        try:
+            self._dead_peers.apply(connection)
+        except OSError as error:
+            # The client has closed it already.
+            connection.close()
+            raise ConnectionAbortedError(error.errno, error.strerror) from None
+
     def _check_reserve(self) -> None:
         """Raise an error if the lowest free descriptor is one of the reserved ones."""
         if self._last_descriptor + 1 < self._descriptor_limit:
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -36,10 +36,7 @@
 from samphirespring.process.mailbox import Mailbox, ask_always
 from samphirespring.process.metrics.metric_names import Counter, Gauge
 from samphirespring.process.metrics.metrics import Metrics
-from samphirespring.process.target_table_messages import (
-    ReadPeers,
-    TableMessage,
-)
+from samphirespring.process.target_table_messages import ReadPeers, TableMessage
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
 from samphirespring.version.section_set import DocumentDelta, SectionSet
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -12,10 +12,7 @@
 from samphirespring.process.logs.request_log import RequestLog
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.metrics.metric_names import Counter, Timing
-from samphirespring.process.target_table_messages import (
-    UseServicePolicies,
-    UseSubsetSize,
-)
+from samphirespring.process.target_table_messages import UseServicePolicies, UseSubsetSize
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.traffic_limiter import AdmitRequest
 from samphirespring.request.action_admission import check_action
--- a/src/samphirespring/process/path_prober.py
+++ b/src/samphirespring/process/path_prober.py
@@ -20,11 +20,7 @@
     PageRequest,
     make_single_part_list,
 )
-from samphirespring.process.target_table_messages import (
-    ProbePath,
-    TableMessage,
-    UpdatePath,
-)
+from samphirespring.process.target_table_messages import ProbePath, TableMessage, UpdatePath
 from samphirespring.process.tasks import OwnerTask, PagedDump
 from samphirespring.process.timers import TimerService
 
--- a/src/samphirespring/process/registry/host_presenter.py
+++ b/src/samphirespring/process/registry/host_presenter.py
@@ -9,10 +9,7 @@
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ask_always
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.target_table_messages import (
-    FindScheduler,
-    TableMessage,
-)
+from samphirespring.process.target_table_messages import FindScheduler, TableMessage
 from samphirespring.process.targets import HostRecord, TargetRecord
 from samphirespring.version.ids import ServiceName
 
--- a/src/samphirespring/process/registry/report_sender.py
+++ b/src/samphirespring/process/registry/report_sender.py
@@ -13,10 +13,7 @@
 from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion
 from samphirespring.process.mailbox import Mailbox, ask_always
 from samphirespring.process.registry.initial_table import InitialTableSearch
-from samphirespring.process.target_table_messages import (
-    ReadPeers,
-    TableMessage,
-)
+from samphirespring.process.target_table_messages import ReadPeers, TableMessage
 from samphirespring.process.timers import TimerService
 
 NO_TABLE = RegistryVersion(0)
--- a/src/samphirespring/process/registry_client.py
+++ b/src/samphirespring/process/registry_client.py
@@ -18,10 +18,7 @@
 from samphirespring.process.registry.host_presenter import HostPresenter
 from samphirespring.process.registry.pending_reports import PendingReports
 from samphirespring.process.registry.report_sender import ReportSender
-from samphirespring.process.target_table_messages import (
-    ApplyDelta,
-    TableMessage,
-)
+from samphirespring.process.target_table_messages import ApplyDelta, TableMessage
 from samphirespring.process.targets import NO_DELTA, HostRecord, RegistryDelta
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
--- a/src/samphirespring/process/scheduled_targets.py
+++ b/src/samphirespring/process/scheduled_targets.py
@@ -16,11 +16,7 @@
 from samphirespring.process.document.relay_tree import Peer
 from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.mailbox import Mailbox, ask
-from samphirespring.process.target_table_messages import (
-    FindScheduler,
-    TableMessage,
-    UpdateLoad,
-)
+from samphirespring.process.target_table_messages import FindScheduler, TableMessage, UpdateLoad
 from samphirespring.process.targets import Locality, TargetLoad
 from samphirespring.process.timers import TimerService
 from samphirespring.request.selection import Candidate
--- a/src/samphirespring/request/context.py
+++ b/src/samphirespring/request/context.py
@@ -6,9 +6,7 @@
 
 from samphirespring.process.mailbox import Mailbox
 from samphirespring.process.metrics.metrics import Metrics
-from samphirespring.process.target_table_messages import (
-    TableMessage,
-)
+from samphirespring.process.target_table_messages import TableMessage
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage
 from samphirespring.request.attempt_sender import AttemptSender
--- a/tests/benchmarks/capacity.py
+++ b/tests/benchmarks/capacity.py
@@ -27,9 +27,7 @@
 from samphirespring.process.replication.state_machine import LocalProposer
 from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.target_table import TargetTable
-from samphirespring.process.target_table_messages import (
-    ApplyDelta,
-)
+from samphirespring.process.target_table_messages import ApplyDelta
 from samphirespring.process.targets import (
     HostRecord,
     Locality,
--- a/tests/features/steps/full_inbox_steps.py
+++ b/tests/features/steps/full_inbox_steps.py
@@ -11,11 +11,7 @@
 from samphirespring.process.metrics.metrics import NullMetrics
 from samphirespring.process.path_prober import PathProber
 from samphirespring.process.queued_frames import QueuedFrames
-from samphirespring.process.target_table_messages import (
-    ProbePath,
-    ReleaseTarget,
-    UpdatePath,
-)
+from samphirespring.process.target_table_messages import ProbePath, ReleaseTarget, UpdatePath
 from samphirespring.process.timers import MonotonicTimerService
 
 TIMEOUT_S = 10.0
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -17,10 +17,7 @@
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.state_machine import LocalProposer
 from samphirespring.process.target_table import TargetTable
-from samphirespring.process.target_table_messages import (
-    ApplyDelta,
-    SelectTarget,
-)
+from samphirespring.process.target_table_messages import ApplyDelta, SelectTarget
 from samphirespring.process.targets import RegistryDelta, TargetRecord
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.messages import Header, ResponseHead
--- a/tests/features/steps/registry_reset_steps.py
+++ b/tests/features/steps/registry_reset_steps.py
@@ -7,10 +7,7 @@
 from samphirespring.process.mailbox import ask
 from samphirespring.process.runtime import run_tasks
 from samphirespring.process.target_table import TargetTable
-from samphirespring.process.target_table_messages import (
-    ApplyDelta,
-    SelectTarget,
-)
+from samphirespring.process.target_table_messages import ApplyDelta, SelectTarget
 from samphirespring.process.targets import Locality, RegistryDelta
 from samphirespring.process.timers import ManualTimerService
 from samphirespring.request.selection import NearestOfTwoSelector
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -22,9 +22,7 @@
 from samphirespring.process.replication.state_machine import LocalProposer
 from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.target_table import TargetTable
-from samphirespring.process.target_table_messages import (
-    ApplyDelta,
-)
+from samphirespring.process.target_table_messages import ApplyDelta
 from samphirespring.process.targets import (
     HostRecord,
     Locality,
--- a/tests/registry/tree.py
+++ b/tests/registry/tree.py
@@ -17,10 +17,7 @@
 from samphirespring.process.registry_client import RegistryClient
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.state_machine import LocalProposer
-from samphirespring.process.target_table_messages import (
-    ApplyDelta,
-    ReadPeers,
-)
+from samphirespring.process.target_table_messages import ApplyDelta, ReadPeers
 from samphirespring.process.targets import HostRecord, Locality
 from samphirespring.process.timers import ManualTimerService
 
