--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from samphirespring.version.ids import (
+    ApiKeyDigest,
     DocumentVersion,
     SectionName,
     SectionVersion,
@@ -19,6 +20,8 @@
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0.0)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+Digest = Annotated[ApiKeyDigest, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 
 AIM_MARGIN_MS = 60_000
 """Excess of `aim_ms` over `deadline_ms` from which it is rejected as a mistake, in milliseconds."""
@@ -165,7 +168,7 @@
     priority: PriorityClass = PriorityClass.INTERACTIVE
     """Priority of the requests; `helper` is shed first and never hedged."""
 
-    rank: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    rank: Rank = 0
     """Order of waiting requests of the same priority; lower ranks go first."""
 
     aim_ms: Milliseconds = 0
@@ -186,6 +189,9 @@
     limit: RateLimit | None = None
     """Rate limit of each workspace on this route; null sets none."""
 
+    key_exempt: bool = False
+    """Whether requests need no API key although workspaces have keys."""
+
     def __post_init__(self) -> None:
         """Validate the fields that depend on each other."""
         if self.split and self.service not in self.split:
@@ -200,10 +206,19 @@
 
 
 class WorkspacePolicy(_Part, frozen=True, kw_only=True, gc=False):
-    """Rate limit of one workspace."""
+    """Rate limits, API keys and priority of one workspace."""
 
     limit: RateLimit | None = None
-    """Limit over all routes; null uses the fleet's default."""
+    """Limit over all routes, applied by each front; null uses the fleet's default."""
+
+    quota: RateLimit | None = None
+    """Limit over all routes and all fronts together; null sets none."""
+
+    api_keys: tuple[Digest, ...] = ()
+    """SHA-256 of each API key that shows that a request belongs to the workspace."""
+
+    rank: Rank | None = None
+    """Order of waiting requests of the same priority; replaces the route's; null keeps it."""
 
 
 class TeamSection(_Part, frozen=True, kw_only=True, gc=False):
@@ -287,6 +302,24 @@
     limit_fronts: PositiveInt = 1
     """Fronts that the requests of one workspace are spread over; each grants a share of a limit."""
 
+    api_key_header: Name = "x-api-key"
+    """Request header that carries the API key; it isn't passed on to backend servers."""
+
+    key_lease_ms: Milliseconds = 0
+    """Longest time for which a host runs requests with API keys after the control hosts confirmed
+    that its document is the newest, in milliseconds; 0 sets no limit."""
+
+    quota_overshoot: Share = 0.0
+    """Share by which all fronts together may exceed a quota within `quota_window_s`, used by fronts
+    that can't reach the control hosts."""
+
+    quota_slack: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Requests that all fronts together may add to a quota within `quota_window_s`, used like
+    `quota_overshoot`."""
+
+    quota_window_s: PositiveFloat = 5.0
+    """Window over which `quota_overshoot` and `quota_slack` apply, in seconds."""
+
     ledger_retention_s: PositiveInt = 86_400
     """Time for which the outcome of an action is kept for resends, in seconds."""
 
--- a/src/samphirespring/version/ids.py
+++ b/src/samphirespring/version/ids.py
@@ -11,6 +11,9 @@
 NO_WORKSPACE = WorkspaceId("")
 """Workspace of a request that names none."""
 
+ApiKeyDigest = NewType("ApiKeyDigest", str)
+"""SHA-256 of an API key, in lower-case hexadecimal; the document holds no key itself."""
+
 DocumentVersion = NewType("DocumentVersion", int)
 SectionVersion = NewType("SectionVersion", int)
 ChangeId = NewType("ChangeId", str)
