Let a host that selects for its neighbours use every target of its region

One host selects for a failure domain, but from its own subset of 20 of the service's targets: 9 to 11 of the 14 in its domain, the same for every front. Change: a selection for neighbours takes all targets of the region, and a subset of the others. Before: 9 or 10 of 14 near targets considered in the pool of the new scenario; after: all 28 of the region (feature selection; it failed before). Conclusion: the subset bounds links of a front that selects for itself; a selecting host's choices are spread over the fronts that asked, so it needs no such bound.

--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -8,7 +8,7 @@
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.ids import HostId, TargetId
 from samphirespring.process.targets import Locality, TargetLoad
-from samphirespring.request.selection import Candidate, Choice, is_usable
+from samphirespring.request.selection import Candidate, Choice, Distance, is_usable
 from samphirespring.request.subset import choose_subset
 
 LOAD_DECAY_S = 1.0
@@ -89,7 +89,7 @@
     def __init__(self, locality: Locality) -> None:
         self._locality = locality
         self._members: dict[TargetId, PoolMember] = {}
-        self._tiers: tuple[tuple[PoolMember, ...], ...] | None = None
+        self._tiers: dict[Distance, tuple[tuple[PoolMember, ...], ...]] = {}
 
     @property
     def size(self) -> int:
@@ -145,7 +145,7 @@
 
     def reset_subset(self) -> None:
         """Discard the chosen subset; the next selection chooses a new one."""
-        self._tiers = None
+        self._tiers.clear()
 
     def update_load(self, target: TargetId, load: TargetLoad, *, now_s: float) -> None:
         """Update a target's load from the end of an attempt.
@@ -191,6 +191,7 @@
         subset_size: int,
         now_s: float,
         model: FaultModel | None = None,
+        is_shared: bool = False,
     ) -> Sequence[Sequence[Choice]]:
         """Return the targets that the front uses, by distance, with their estimated free slots.
 
@@ -199,9 +200,14 @@
             subset_size: Number of targets to use if the service has more.
             now_s: Monotonic time, in seconds.
             model: Fault model of the service; None if faults aren't tracked.
+            is_shared: Whether the front selects for its neighbours. It then uses all targets of its
+                region: what it leaves out gets nothing from any of them.
         """
-        if self._tiers is None:
-            self._tiers = self._choose_tiers(region_hosts, subset_size)
+        whole = Distance.SAME_REGION if is_shared else Distance.SAME_HOST
+        tiers = self._tiers.get(whole)
+        if tiers is None:
+            tiers = self._choose_tiers(region_hosts, subset_size, whole)
+            self._tiers[whole] = tiers
         return [
             [
                 Choice(
@@ -213,17 +219,18 @@
                 )
                 for member in tier
             ]
-            for tier in self._tiers
+            for tier in tiers
         ]
 
     def _choose_tiers(
-        self, region_hosts: Collection[HostId], subset_size: int
+        self, region_hosts: Collection[HostId], subset_size: int, whole: Distance
     ) -> tuple[tuple[PoolMember, ...], ...]:
         subset = choose_subset(
             self.list_candidates(),
             locality=self._locality,
             region_hosts=region_hosts,
             size=subset_size,
+            whole=whole,
         )
         return tuple(
             tuple(self._members[candidate.target] for candidate in tier) for tier in subset
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -238,6 +238,7 @@
                 subset_size=self._subset_size,
                 now_s=now_s,
                 model=model,
+                is_shared=message.is_shared,
             ),
             service=service,
             idempotent=terms.idempotent,
--- a/src/samphirespring/request/subset.py
+++ b/src/samphirespring/request/subset.py
@@ -20,6 +20,7 @@
     locality: Locality,
     region_hosts: Collection[HostId],
     size: int,
+    whole: Distance = Distance.SAME_HOST,
 ) -> tuple[tuple[Candidate, ...], ...]:
     """Return the targets that a front uses by distance, nearest first.
 
@@ -32,6 +33,7 @@
         locality: Locality of the front.
         region_hosts: Hosts in the front's region that run a front.
         size: Number of targets to use, if the service has more.
+        whole: Distance up to which all targets are used; those on the front's host always are.
     """
     tiers: dict[Distance, list[Candidate]] = {distance: [] for distance in Distance}
     for candidate in candidates:
@@ -39,7 +41,7 @@
     if len(candidates) <= size:
         return tuple(tuple(tier) for tier in tiers.values())
     ranked = [_rank(tier, locality.host) for tier in tiers.values()]
-    quotas = _allocate_quotas([len(tier) for tier in ranked], size)
+    quotas = _allocate_quotas([len(tier) for tier in ranked], size, whole=whole)
     return tuple(
         (*tier[:quota], *_list_covering(tier[quota:], locality=locality, region_hosts=region_hosts))
         for tier, quota in zip(ranked, quotas, strict=True)
@@ -50,11 +52,11 @@
     return sorted(tier, key=lambda c: (hash_pair(host, c.locality.host), hash_pair(host, c.target)))
 
 
-def _allocate_quotas(sizes: Sequence[int], size: int) -> list[int]:
-    """Return the number of targets by distance: all on the front's host, and a minimum of each."""
+def _allocate_quotas(sizes: Sequence[int], size: int, *, whole: Distance) -> list[int]:
+    """Return the number of targets by distance: all of the near ones, and a minimum of each."""
     quotas = [min(count, max(MIN_PER_DISTANCE, size // len(sizes))) for count in sizes]
     # Targets on the front's own host need no link.
-    quotas[0] = sizes[0]
+    quotas[: whole + 1] = sizes[: whole + 1]
     remaining = max(0, size - sum(quotas))
     for position, count in enumerate(sizes):
         extra = min(remaining, count - quotas[position])
--- a/tests/features/selection.feature
+++ b/tests/features/selection.feature
@@ -34,3 +34,10 @@
     When 20000 workspaces make one request each with a limit of 1 per second
     Then at most 6400 buckets are in memory, and none remain 2 s and one sweep later
     And no workspace is granted more than its burst plus its rate over 60 s of random requests
+
+  # Guards against sound targets that get nothing for seconds because the one host that selects for a
+  # failure domain leaves them out of its subset.
+  Scenario: A host that selects for its neighbours uses every target of its region
+    Given 38 fronts in one region, 28 with a target, and 28 targets in another region
+    When the host that selects for its failure domain selects among them
+    Then it considers all 28 targets of its region, and some of the other
--- a/tests/features/steps/selection_steps.py
+++ b/tests/features/steps/selection_steps.py
@@ -205,3 +205,29 @@
         assert wait_s <= 1 / 3 + 1e-6
     assert 180 <= granted <= 4 + 3.0 * now_s, granted
     assert refused > 300
+
+
+@given(
+    "{fronts:d} fronts in one region, {near:d} with a target, and {far:d} targets in another region"
+)
+def step_two_regions(context, fronts, near, far):
+    context.region_hosts = {f"h{number}" for number in range(fronts)}
+    localities = [
+        Locality(region="r0", failure_domain=f"r0-{number % 2}", host=f"h{number}")
+        for number in range(near)
+    ] + [Locality(region="r1", failure_domain="r1-0", host=f"far{number}") for number in range(far)]
+    context.pool = make_pool([make_candidate(n, place) for n, place in enumerate(localities)])
+
+
+@when("the host that selects for its failure domain selects among them")
+def step_select_shared(context):
+    context.tiers = context.pool.list_choices(
+        region_hosts=context.region_hosts, subset_size=SUBSET, now_s=0.0, is_shared=True
+    )
+
+
+@then("it considers all {near:d} targets of its region, and some of the other")
+def step_check_whole_region(context, near):
+    *region, other = context.tiers
+    assert sum(len(tier) for tier in region) == near, [len(tier) for tier in region]
+    assert other
