Workspaces' API keys: compiled by fingerprint, checked at the front, translated from tenants

Cause: a configuration with tenants was refused (unknown resource type), so that no request of the new customers could be served. Change: the document is compiled to a table from key fingerprints (16 bytes) to workspaces; a key in two workspaces is an error. request/authentication.py replaces a claimed workspace by the key's holder, takes the workspace's rank, drops the key, and refuses unknown keys with 401 (api_key_unknown, not run). Exempt routes have no workspace. The platform's adapter translates tenants, quotas and auth-exempt routes; ServiceDefaults is renamed DeploymentDefaults, as it now holds the tenants' bounds too. New field fleet.api_keys_required: a configuration whose last key was taken away would else let everyone in. Conclusion: keys are checked with the front's own document. A front that is cut off still takes withdrawn keys; permissions that end follow (docs/design/workspace-keys.md).

--- a/src/samphirespring/connection/caller_dialect.py
+++ b/src/samphirespring/connection/caller_dialect.py
@@ -34,7 +34,8 @@
 from samphirespring.request.messages import Header
 from samphirespring.request.states import Outcome
 from samphirespring.version.document import FleetSection
-from samphirespring.version.ids import NO_WORKSPACE, WorkspaceId
+from samphirespring.version.ids import NO_WORKSPACE, ApiKeyFingerprint, WorkspaceId
+from samphirespring.version.key_table import make_fingerprint
 from samphirespring.version.routes import CompiledDocument
 
 KEY_PATTERN = re.compile(rb"^[!-~]{1,200}$")
@@ -140,6 +141,7 @@
             deadline_header=DEADLINE_HEADER,
             workspace=_read_workspace(headers, fleet),
             key=_read_key(headers),
+            api_key=read_api_key(headers, compiled),
         )
 
     def make_response_head(
@@ -178,6 +180,7 @@
     deadline_header: bytes,
     workspace: WorkspaceId = NO_WORKSPACE,
     key: IdempotencyKey | None = None,
+    api_key: ApiKeyFingerprint | None = None,
 ) -> CallerRequest:
     """Return the request as the front's type.
 
@@ -189,6 +192,7 @@
         deadline_header: Header with the remaining time.
         workspace: The workspace that the request belongs to.
         key: Idempotency key of an action.
+        api_key: Fingerprint of the API key.
 
     Raises:
         MalformedRequestError: A header is missing or malformed.
@@ -205,6 +209,7 @@
         address=read_address(scope),
         workspace=workspace,
         key=key,
+        api_key=api_key,
     )
 
 
@@ -285,6 +290,22 @@
     return int(value)
 
 
+def read_api_key(
+    headers: Sequence[Header], compiled: CompiledDocument | None
+) -> ApiKeyFingerprint | None:
+    """Return the fingerprint of the API key, or None if there is not exactly one.
+
+    Args:
+        headers: The headers.
+        compiled: The document in force; if it requires no API keys, none is read.
+    """
+    if compiled is None or not compiled.requires_keys:
+        return None
+    name = compiled.fleet.api_key_header.lower().encode()
+    keys = [header.value for header in headers if header.name == name]
+    return make_fingerprint(keys[0]) if len(keys) == 1 else None
+
+
 def _read_key(headers: Sequence[Header]) -> IdempotencyKey | None:
     value = find_header(headers, IDEMPOTENCY_KEY_HEADER)
     if value is None:
--- a/src/samphirespring/platform/caller_dialect.py
+++ b/src/samphirespring/platform/caller_dialect.py
@@ -8,6 +8,7 @@
     CallerDialect,
     HttpResponseHead,
     list_problem_headers,
+    read_api_key,
     read_caller_request,
 )
 from samphirespring.connection.http_headers import select_end_to_end
@@ -63,6 +64,7 @@
             body,
             headers=(*forwarded, Header(CALLER_SERVICE, self._service.encode())),
             deadline_header=DEADLINE_MS,
+            api_key=read_api_key(headers, compiled),
         )
 
     def make_response_head(
--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -1,10 +1,12 @@
 """Translates the operator's configuration into sections of the document."""
 
+import math
 from enum import Enum
 from typing import Annotated, Any
 
 import msgspec
 
+from samphirespring.platform.headers import API_KEY, TENANT
 from samphirespring.platform.units import parse_ms
 from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.version.document import (
@@ -12,13 +14,16 @@
     CallerConnectionPolicy,
     DetectionPolicy,
     FleetSection,
+    RateLimit,
     RetryPolicy,
     RoutePolicy,
     ServicePolicy,
     SuspicionPolicy,
     TeamSection,
+    WorkspacePolicy,
 )
-from samphirespring.version.ids import Revision, SectionName, ServiceName
+from samphirespring.version.ids import Revision, SectionName, ServiceName, WorkspaceId
+from samphirespring.version.key_table import compute_digest
 from samphirespring.version.parser import DocumentInvalidError
 from samphirespring.version.states import DetectionMode, PriorityClass
 
@@ -26,6 +31,15 @@
 """Section that holds the operator's routes and services."""
 
 
+WORKSPACE_SECTION = SectionName("workspaces")
+"""Section that holds the operator's tenants, apart from the routes: keys change more often."""
+
+MAX_QUOTA_NUMBER = 1e12
+"""Largest rate per second, and largest burst, of a tenant's quota."""
+
+_QuotaNumber = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_QUOTA_NUMBER)]
+
+
 class _RouteKind(Enum):
     """What may be repeated on a route."""
 
@@ -35,8 +49,8 @@
     """Like `unsafe`, with large bodies."""
 
 
-class ServiceDefaults(msgspec.Struct, frozen=True, kw_only=True):
-    """Values that the deployment sets for all services.
+class DeploymentDefaults(msgspec.Struct, frozen=True, kw_only=True):
+    """Values that the deployment sets for all services and tenants.
 
     Attributes:
         floor: Smallest share of a service's capacity that ejection must leave.
@@ -44,6 +58,11 @@
         retry_floor: Additional attempts of all fronts together in a window, besides `retry_share`.
         retry_window_s: Length of the window, in seconds.
         suspicion: How often and for how long targets have short faults.
+        key_lease_ms: Longest time for which a host runs requests with keys without a confirmation
+            that its document is the newest, in milliseconds; 0 sets no limit.
+        quota_overshoot: Share by which a quota may be exceeded within a window.
+        quota_slack: Requests that may be added to a quota within a window.
+        quota_window_s: Length of that window, in seconds.
     """
 
     floor: float = 0.7
@@ -51,6 +70,10 @@
     retry_floor: float = 12.0
     retry_window_s: float = 60.0
     suspicion: SuspicionPolicy = SuspicionPolicy(share=0.3, span_s=2.7)
+    key_lease_ms: int = 0
+    quota_overshoot: float = 0.0
+    quota_slack: int = 0
+    quota_window_s: float = 5.0
 
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
@@ -82,6 +105,9 @@
     priority: int = 0
     """0 is the highest priority."""
 
+    auth_exempt: bool = False
+    """Whether the route's requests need no key."""
+
     service: ServiceName | None = None
     traffic_split: tuple[_WeightedService, ...] = ()
     max_attempts: int
@@ -91,6 +117,17 @@
     """Reads no fields: all of them concern connections, which the agents limit by slots."""
 
 
+class _TenantSpec(_ConfigurationObject, frozen=True, kw_only=True):
+    api_keys: tuple[Annotated[str, msgspec.Meta(min_length=1)], ...] = ()
+    priority: int | None = None
+    """Takes precedence over the route's priority."""
+
+    rate_per_s: _QuotaNumber = 0.0
+    """Requests per second through all nodes together; 0 sets no limit."""
+
+    burst: _QuotaNumber = 0.0
+
+
 class _LimitsSpec(_ConfigurationObject, frozen=True, kw_only=True):
     max_header_bytes: int | None = None
     max_body_bytes: int | None = None
@@ -113,7 +150,7 @@
     resources: tuple[_Resource, ...]
 
 
-def translate_configuration(text: bytes, *, defaults: ServiceDefaults) -> Submission:
+def translate_configuration(text: bytes, *, defaults: DeploymentDefaults) -> Submission:
     """Return a configuration as sections of the document.
 
     Args:
@@ -134,10 +171,11 @@
 
 
 def _make_sections(
-    configuration: _Configuration, defaults: ServiceDefaults
+    configuration: _Configuration, defaults: DeploymentDefaults
 ) -> dict[SectionName, bytes]:
     routes: list[RoutePolicy] = []
     services: dict[ServiceName, ServicePolicy] = {}
+    workspaces: dict[WorkspaceId, WorkspacePolicy] = {}
     connections = CallerConnectionPolicy()
     for resource in configuration.resources:
         match resource.type:
@@ -146,6 +184,12 @@
             case "services":
                 msgspec.json.decode(resource.spec, type=_ServiceSpec)
                 services[ServiceName(resource.metadata.name)] = _make_service(defaults)
+            case "tenants":
+                workspace = WorkspaceId(resource.metadata.name)
+                if workspace in workspaces:
+                    raise ValueError(f"tenant `{workspace}` occurs twice")
+                spec = msgspec.json.decode(resource.spec, type=_TenantSpec)
+                workspaces[workspace] = _make_workspace(spec)
             case "limits":
                 connections = _make_connection_policy(
                     msgspec.json.decode(resource.spec, type=_LimitsSpec)
@@ -154,7 +198,38 @@
                 raise ValueError(f"unknown resource type `{resource.type}`")
     fleet = FleetSection(caller_connections=connections, ledger_groups=0)
     team = TeamSection(services=services, routes=tuple(routes))
-    return {FLEET_SECTION: _encode(fleet), OPERATOR_SECTION: _encode(team)}
+    sections = {FLEET_SECTION: _encode(fleet), OPERATOR_SECTION: _encode(team)}
+    if workspaces:
+        sections[FLEET_SECTION] = _encode(_require_keys(fleet, defaults))
+        sections[WORKSPACE_SECTION] = _encode(TeamSection(workspaces=workspaces))
+    return sections
+
+
+def _require_keys(fleet: FleetSection, defaults: DeploymentDefaults) -> FleetSection:
+    return msgspec.structs.replace(
+        fleet,
+        workspace_header=TENANT.decode(),
+        api_key_header=API_KEY.decode(),
+        api_keys_required=True,
+        key_lease_ms=defaults.key_lease_ms,
+        quota_overshoot=defaults.quota_overshoot,
+        quota_slack=defaults.quota_slack,
+        quota_window_s=defaults.quota_window_s,
+    )
+
+
+def _make_workspace(spec: _TenantSpec) -> WorkspacePolicy:
+    return WorkspacePolicy(
+        api_keys=tuple(compute_digest(key.encode()) for key in dict.fromkeys(spec.api_keys)),
+        rank=spec.priority,
+        quota=_make_quota(spec),
+    )
+
+
+def _make_quota(spec: _TenantSpec) -> RateLimit | None:
+    if spec.rate_per_s == 0.0:
+        return None
+    return RateLimit(requests_per_s=spec.rate_per_s, burst=max(1, math.floor(spec.burst)))
 
 
 def _make_route(spec: _RouteSpec) -> RoutePolicy:
@@ -174,13 +249,14 @@
         idempotent=idempotent,
         priority=PriorityClass.INTERACTIVE if idempotent else PriorityClass.ACTION,
         rank=spec.priority,
+        key_exempt=spec.auth_exempt,
         aim_ms=parse_ms(spec.aim),
         deadline_ms=timeout_ms,
         retry=RetryPolicy(max_attempts=spec.max_attempts, capacity_wait_ms=timeout_ms),
     )
 
 
-def _make_service(defaults: ServiceDefaults) -> ServicePolicy:
+def _make_service(defaults: DeploymentDefaults) -> ServicePolicy:
     return ServicePolicy(
         floor=defaults.floor,
         detection=DetectionPolicy(mode=DetectionMode.FAST),
--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -2,12 +2,15 @@
 
 from typing import Any
 
-from samphirespring.platform.configuration import ServiceDefaults
+from samphirespring.platform.configuration import DeploymentDefaults
 from samphirespring.platform.operator_http import ConfigurationApp
 from samphirespring.platform.settings import PlatformControlSettings
-from samphirespring.platform.units import parse_seconds
+from samphirespring.platform.units import parse_ms, parse_seconds
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
 
+KEY_LEASE_SHARE = 0.9
+"""Share of the time until a withdrawn key must not be used that permissions to use keys last."""
+
 FRONT_BUDGET_SHARE = 0.6
 """Share of the fleet's retry budget that the fronts may spend.
 
@@ -35,11 +38,22 @@
         ).make_app()
 
 
-def _read_defaults(settings: PlatformControlSettings) -> ServiceDefaults:
+def _read_defaults(settings: PlatformControlSettings) -> DeploymentDefaults:
     bounds = settings.bounds
-    return ServiceDefaults(
+    return DeploymentDefaults(
         floor=float(bounds.get("floor-share", "0.7")),
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
+        key_lease_ms=_read_key_lease_ms(settings),
+        quota_overshoot=float(bounds.get("quota-overshoot", "0")),
+        quota_slack=int(bounds.get("quota-slack", "0")),
+        quota_window_s=parse_seconds(str(bounds.get("quota-window", "5s"))),
     )
+
+
+def _read_key_lease_ms(settings: PlatformControlSettings) -> int:
+    bounds = settings.bounds
+    if bounds.get("strict-revoke") is not True:
+        return 0
+    return round(parse_ms(str(bounds.get("revoke", "5s"))) * KEY_LEASE_SHARE)
--- a/src/samphirespring/platform/headers.py
+++ b/src/samphirespring/platform/headers.py
@@ -12,6 +12,12 @@
 CALLER_SERVICE = b"x-caller-service"
 """Service on the host that the request comes from."""
 
+API_KEY = b"x-api-key"
+"""Key of the tenant that a caller's request belongs to."""
+
+TENANT = b"x-tenant"
+"""Tenant that holds the request's key."""
+
 SEAL = b"x-server-seal"
 """A target's signature of its response."""
 
--- a/src/samphirespring/platform/operator_http.py
+++ b/src/samphirespring/platform/operator_http.py
@@ -13,7 +13,7 @@
     encode_problem,
     make_problem,
 )
-from samphirespring.platform.configuration import ServiceDefaults, translate_configuration
+from samphirespring.platform.configuration import DeploymentDefaults, translate_configuration
 from samphirespring.platform.headers import BASE_REVISION
 from samphirespring.process.addresses import parse_address
 from samphirespring.process.document.errors import RevisionConflictError
@@ -51,7 +51,7 @@
     """
 
     def __init__(
-        self, documents: DocumentService, *, defaults: ServiceDefaults, operator_port: int
+        self, documents: DocumentService, *, defaults: DeploymentDefaults, operator_port: int
     ) -> None:
         self._documents = documents
         self._defaults = defaults
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -24,6 +24,7 @@
     BODY_TOO_LARGE = "body_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     NO_ROUTE = "no_route"
+    API_KEY_UNKNOWN = "api_key_unknown"
     NO_DOCUMENT = "no_document"
     NO_TARGET = "no_target"
     DEADLINE_EXPIRED = "deadline_expired"
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -18,6 +18,7 @@
 from samphirespring.request.action_admission import check_action
 from samphirespring.request.action_digest import compute_digest
 from samphirespring.request.action_exchange import ActionContext, ActionExchange
+from samphirespring.request.authentication import authenticate
 from samphirespring.request.body import BodyAbortedError, WholeBody
 from samphirespring.request.caller import CallerRequest, ResponseWriter
 from samphirespring.request.context import ExchangeContext
@@ -146,6 +147,8 @@
             name = f"{route.policy.host}{route.policy.path_prefix}"
             route = route.choose_part(self._splits.draw(name))
         with self._count_in_flight():
+            with account_for_earlier_requests(keyed=keyed and not route.policy.idempotent):
+                request = authenticate(request, route=route, compiled=compiled)
             with account_for_earlier_requests(keyed=keyed and not route.policy.idempotent):
                 await self._check_limits(request, route, compiled)
             if not route.policy.idempotent:
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -175,10 +175,12 @@
         body_length=request.body.length,
         remaining_ms=remaining_ms,
         priority=policy.priority,
-        rank=policy.rank,
+        rank=policy.rank if request.rank is None else request.rank,
         idempotent=policy.idempotent,
         answer=policy.answer,
         max_risk=candidate.max_risk,
         may_try=candidate.may_try,
         terms=candidate.terms,
+        workspace=request.workspace,
+        api_key=request.api_key,
     )
--- a/src/samphirespring/request/caller.py
+++ b/src/samphirespring/request/caller.py
@@ -9,7 +9,7 @@
 from samphirespring.request.ids import IdempotencyKey, RequestId
 from samphirespring.request.messages import Header
 from samphirespring.request.states import Outcome
-from samphirespring.version.ids import WorkspaceId
+from samphirespring.version.ids import ApiKeyFingerprint, WorkspaceId
 
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,7 +35,15 @@
     """IP address of the caller; empty if unknown."""
 
     workspace: WorkspaceId
+    """The workspace that the request belongs to; if workspaces hold API keys, the holder of the
+    request's key as soon as the front has checked it."""
+
     key: IdempotencyKey | None
+    api_key: ApiKeyFingerprint | None = None
+    """Fingerprint of the only API key that the caller sent; None if it sent none, or several."""
+
+    rank: int | None = None
+    """Order among waiting requests of the same priority; None to use the route's."""
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/samphirespring/request/errors.py
+++ b/src/samphirespring/request/errors.py
@@ -56,6 +56,13 @@
     status = 404
 
 
+class ApiKeyUnknownError(RequestError):
+    """The request carries no API key that a workspace holds."""
+
+    code = ErrorCode.API_KEY_UNKNOWN
+    status = 401
+
+
 class NoDocumentError(RequestError):
     """This node has not received a document yet."""
 
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -12,7 +12,13 @@
 from samphirespring.request.ids import AttemptId, IdempotencyKey, RequestId
 from samphirespring.request.states import FailureKind, RefusalCode
 from samphirespring.version.document import ResponseCheck
-from samphirespring.version.ids import DocumentVersion, ServiceName
+from samphirespring.version.ids import (
+    NO_WORKSPACE,
+    ApiKeyFingerprint,
+    DocumentVersion,
+    ServiceName,
+    WorkspaceId,
+)
 from samphirespring.version.states import PriorityClass
 
 
@@ -69,6 +75,12 @@
     body_length: int | None = None
     """Length of a body that follows, in bytes; None if the caller didn't declare it."""
 
+    workspace: WorkspaceId = NO_WORKSPACE
+    """The workspace that the request belongs to."""
+
+    api_key: ApiKeyFingerprint | None = None
+    """Fingerprint of the API key that the request depends on; None if it needs none."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/src/samphirespring/version/compilation.py
+++ b/src/samphirespring/version/compilation.py
@@ -21,6 +21,7 @@
     WorkspacePolicy,
 )
 from samphirespring.version.ids import (
+    ApiKeyFingerprint,
     Generation,
     SectionName,
     SectionVersion,
@@ -28,6 +29,14 @@
     WorkspaceId,
 )
 from samphirespring.version.interning import PolicyInterner
+from samphirespring.version.key_table import (
+    KeyEntry,
+    KeyShard,
+    KeyTable,
+    find_shard,
+    shorten_digest,
+    split_fingerprints,
+)
 from samphirespring.version.routes import CompiledDocument, Route, RoutePart, order_routes
 from samphirespring.version.section_set import SectionSet, StoredSection, store_section
 from samphirespring.version.stamp import DocumentStamp
@@ -41,6 +50,7 @@
 
 ROUTES_PER_STEP = 100
 WORKSPACES_PER_STEP = 500
+KEYS_PER_STEP = 500
 SHARDS_PER_STEP = 8
 HOSTS_PER_STEP = 200
 
@@ -62,6 +72,8 @@
     services: dict[ServiceName, ServicePolicy] = msgspec.field(default_factory=dict)
     routes: tuple[RoutePolicy, ...] = ()
     workspace_keys: Sequence[int] = ()
+    fingerprints: bytes = b""
+    """Fingerprints of the workspaces' API keys, without gaps."""
 
 
 class _NewWorkspaces:
@@ -70,6 +82,7 @@
     def __init__(self) -> None:
         self.keys = array("q")
         self.policies: list[WorkspacePolicy] = []
+        self.api_keys: list[KeyEntry] = []
 
     def add(self, key: int, policy: WorkspacePolicy) -> None:
         """Add a workspace.
@@ -81,6 +94,16 @@
         self.keys.append(key)
         self.policies.append(policy)
 
+    def add_api_keys(self, workspace: WorkspaceId, policy: WorkspacePolicy) -> None:
+        """Add the API keys of a workspace.
+
+        Args:
+            workspace: The workspace.
+            policy: Its policy.
+        """
+        for digest in policy.api_keys:
+            self.api_keys.append(KeyEntry(shorten_digest(digest), workspace))
+
     def read_entries(self, positions: Iterable[int]) -> Iterator[WorkspaceEntry]:
         """Yield the workspaces at some positions.
 
@@ -107,6 +130,7 @@
         self._services: dict[ServiceName, ServicePolicy] = {}
         self._routes_by_host: dict[str, tuple[Route, ...]] = {}
         self._workspaces = WorkspaceTable()
+        self._keys = KeyTable()
         self._interner = PolicyInterner()
 
     def compile_steps(self, sections: SectionSet) -> Iterator[CompiledDocument | None]:
@@ -134,6 +158,7 @@
         removed = {name for name in self._sections if name not in sections.sections}
         replaced = [self._sections.get(name, _NO_SECTION) for name in (*updated, *removed)]
         yield from self._update_workspaces(replaced, workspaces)
+        yield from self._update_keys(replaced, workspaces.api_keys)
         yield from self._update_routes(updated, removed)
         yield CompiledDocument(
             stamp=sections.stamp,
@@ -142,6 +167,7 @@
             services=self._services,
             routes_by_host=self._routes_by_host,
             workspaces=self._workspaces,
+            keys=self._keys,
         )
 
     def _list_changed_sections(self, sections: SectionSet) -> list[StoredSection]:
@@ -166,18 +192,22 @@
                 routes.append(self._interner.intern_route(policy))
             yield None
         keys = array("q")
+        first_api_key = len(workspaces.api_keys)
         for batch in _split(raw.workspaces.items(), WORKSPACES_PER_STEP):
             for workspace, item in batch:
                 workspace_policy = msgspec.json.decode(item, type=WorkspacePolicy)
                 key = compute_key(workspace)
                 keys.append(key)
                 workspaces.add(key, self._interner.intern_workspace(workspace_policy))
+                workspaces.add_api_keys(workspace, workspace_policy)
             yield None
+        api_keys = workspaces.api_keys[first_api_key:]
         updated[section.name] = _CompiledSection(
             digest=section.digest,
             services=raw.services,
             routes=tuple(routes),
             workspace_keys=keys,
+            fingerprints=b"".join(entry.fingerprint for entry in api_keys),
         )
 
     def _update_workspaces(
@@ -206,6 +236,30 @@
         if shards:
             self._workspaces = self._workspaces.replace_shards(shards)
 
+    def _update_keys(
+        self, replaced: Sequence[_CompiledSection], new: Sequence[KeyEntry]
+    ) -> Iterator[None]:
+        removed: defaultdict[int, list[ApiKeyFingerprint]] = defaultdict(list)
+        for section in replaced:
+            for fingerprints in _split(split_fingerprints(section.fingerprints), KEYS_PER_STEP):
+                for fingerprint in fingerprints:
+                    removed[find_shard(fingerprint)].append(fingerprint)
+                yield None
+        added: defaultdict[int, list[KeyEntry]] = defaultdict(list)
+        for entries in _split(new, KEYS_PER_STEP):
+            for entry in entries:
+                added[find_shard(entry.fingerprint)].append(entry)
+            yield None
+        shards: dict[int, KeyShard] = {}
+        for shard_numbers in _split(removed.keys() | added.keys(), SHARDS_PER_STEP):
+            for number in shard_numbers:
+                shards[number] = self._keys.rebuild_shard(
+                    number, removed=removed.get(number, ()), added=added.get(number, ())
+                )
+            yield None
+        if shards:
+            self._keys = self._keys.replace_shards(shards)
+
     def _update_routes(
         self, updated: dict[SectionName, _CompiledSection], removed: set[SectionName]
     ) -> Iterator[None]:
--- a/src/samphirespring/version/cross_reference_index.py
+++ b/src/samphirespring/version/cross_reference_index.py
@@ -1,11 +1,18 @@
 """Index of the names that sections define and use, to validate one section against the others."""
 
+from collections.abc import Iterator
 from typing import NamedTuple, TypeVar
 
 import msgspec
 
 from samphirespring.version.document import RoutePolicy, TeamSection
-from samphirespring.version.ids import SectionName, ServiceName, WorkspaceId
+from samphirespring.version.ids import (
+    ApiKeyFingerprint,
+    SectionName,
+    ServiceName,
+    WorkspaceId,
+)
+from samphirespring.version.key_table import KeyEntry, shorten_digest
 
 KeyT = TypeVar("KeyT")
 
@@ -27,6 +34,7 @@
 
     route_keys: frozenset[RouteKey]
     workspaces: frozenset[WorkspaceId]
+    api_keys: tuple[ApiKeyFingerprint, ...]
 
 
 class CrossReferenceIndex(msgspec.Struct):
@@ -36,6 +44,7 @@
     _services: dict[ServiceName, SectionName] = msgspec.field(default_factory=dict)
     _routes: dict[RouteKey, SectionName] = msgspec.field(default_factory=dict)
     _workspaces: dict[WorkspaceId, SectionName] = msgspec.field(default_factory=dict)
+    _api_keys: dict[ApiKeyFingerprint, SectionName] = msgspec.field(default_factory=dict)
 
     def put(self, name: SectionName, section: TeamSection) -> None:
         """Add or replace a section; a name that another section already owns stays with its owner.
@@ -50,6 +59,7 @@
             route_services=tuple(route.services for route in section.routes),
             route_keys=frozenset(key for route in section.routes for key in list_route_keys(route)),
             workspaces=frozenset(section.workspaces),
+            api_keys=tuple(entry.fingerprint for entry in list_api_keys(section)),
         )
         self._sections[name] = names
         for service in names.services:
@@ -58,6 +68,8 @@
             self._routes.setdefault(key, name)
         for workspace in names.workspaces:
             self._workspaces.setdefault(workspace, name)
+        for fingerprint in names.api_keys:
+            self._api_keys.setdefault(fingerprint, name)
 
     def remove(self, name: SectionName) -> None:
         """Remove a section, if the index has it.
@@ -74,6 +86,8 @@
             _drop(self._routes, key, name)
         for workspace in names.workspaces:
             _drop(self._workspaces, workspace, name)
+        for fingerprint in names.api_keys:
+            _drop(self._api_keys, fingerprint, name)
 
     def find_duplicates(self, name: SectionName, section: TeamSection) -> list[str]:
         """Return problems for names that another section owns and for routes that occur twice.
@@ -97,6 +111,7 @@
                     f"workspace is also named in section {owner}"
                     f" - at `$.{name}.workspaces.{workspace}`"
                 )
+        problems.extend(self._find_duplicate_keys(name, section))
         problems.extend(self._find_duplicate_routes(name, section))
         return problems
 
@@ -141,6 +156,24 @@
         owner = self._services.get(service)
         return owner is None or owner == excluding
 
+    def _find_duplicate_keys(self, name: SectionName, section: TeamSection) -> list[str]:
+        problems: list[str] = []
+        holders: dict[ApiKeyFingerprint, WorkspaceId] = {}
+        for entry in list_api_keys(section):
+            owner = self._api_keys.get(entry.fingerprint, name)
+            holder = holders.setdefault(entry.fingerprint, entry.workspace)
+            if owner != name:
+                where = f"a workspace of section {owner}"
+            elif holder != entry.workspace:
+                where = f"workspace {holder}"
+            else:
+                continue
+            problems.append(
+                f"an API key also belongs to {where}"
+                f" - at `$.{name}.workspaces.{entry.workspace}.api_keys`"
+            )
+        return problems
+
     def _find_duplicate_routes(self, name: SectionName, section: TeamSection) -> list[str]:
         problems: list[str] = []
         positions: dict[RouteKey, int] = {}
@@ -161,6 +194,17 @@
         return problems
 
 
+def list_api_keys(section: TeamSection) -> Iterator[KeyEntry]:
+    """Yield the API keys of a section's workspaces.
+
+    Args:
+        section: The section.
+    """
+    for workspace, policy in section.workspaces.items():
+        for digest in policy.api_keys:
+            yield KeyEntry(shorten_digest(digest), workspace)
+
+
 def list_route_keys(route: RoutePolicy) -> list[RouteKey]:
     """Return the keys that a route occupies, one for each of its methods.
 
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -1,5 +1,6 @@
 """The document: its sections and their fields, as decoded from JSON."""
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -23,6 +24,9 @@
 Rank = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 Digest = Annotated[ApiKeyDigest, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 
+HEADER_SAFE_ID = re.compile(r"^[!-~]{1,200}\Z")
+"""Ids of workspaces that can be sent as the value of a header."""
+
 AIM_MARGIN_MS = 60_000
 """Excess of `aim_ms` over `deadline_ms` from which it is rejected as a mistake, in milliseconds."""
 
@@ -233,6 +237,12 @@
     workspaces: dict[WorkspaceId, WorkspacePolicy] = {}
     """Policies by workspace id."""
 
+    def __post_init__(self) -> None:
+        """Validate the ids of workspaces with API keys, which are sent in a header."""
+        for workspace, policy in self.workspaces.items():
+            if policy.api_keys and not HEADER_SAFE_ID.match(workspace):
+                raise ValueError("the id of a workspace with `api_keys` isn't visible ASCII")
+
 
 class TeamAccess(_Part, frozen=True, kw_only=True, gc=False):
     """Permissions of one team."""
@@ -305,6 +315,10 @@
     api_key_header: Name = "x-api-key"
     """Request header that carries the API key; it isn't passed on to backend servers."""
 
+    api_keys_required: bool = False
+    """Whether requests need an API key even if no workspace holds one; as soon as any workspace
+    holds one, they always do."""
+
     key_lease_ms: Milliseconds = 0
     """Longest time for which a host runs requests with API keys after the control hosts confirmed
     that its document is the newest, in milliseconds; 0 sets no limit."""
--- a/src/samphirespring/version/ids.py
+++ b/src/samphirespring/version/ids.py
@@ -16,6 +16,9 @@
 
 DocumentVersion = NewType("DocumentVersion", int)
 SectionVersion = NewType("SectionVersion", int)
+ApiKeyFingerprint = NewType("ApiKeyFingerprint", bytes)
+"""First bytes of the SHA-256 of an API key, by which processes of the fleet name the key."""
+
 ChangeId = NewType("ChangeId", str)
 """Id that the operator's client gives to a change; a resend of the change carries the same id."""
 
--- a/src/samphirespring/version/interning.py
+++ b/src/samphirespring/version/interning.py
@@ -37,12 +37,14 @@
         )
 
     def intern_workspace(self, policy: WorkspacePolicy) -> WorkspacePolicy:
-        """Return the shared object that is equal to a workspace's policy.
+        """Return the shared object that is equal to a workspace's policy without its API keys.
+
+        The keys differ between all workspaces; a `KeyTable` holds them.
 
         Args:
             policy: The policy.
         """
-        return self._intern(policy)
+        return self._intern(msgspec.structs.replace(policy, api_keys=()))
 
     def _intern(self, value: ValueT) -> ValueT:
         # The type is part of the key, since values of different types can be equal: 1 equals 1.0.
--- a/src/samphirespring/version/routes.py
+++ b/src/samphirespring/version/routes.py
@@ -11,7 +11,14 @@
     ServicePolicy,
     WorkspacePolicy,
 )
-from samphirespring.version.ids import DocumentVersion, SectionName, ServiceName, WorkspaceId
+from samphirespring.version.ids import (
+    ApiKeyFingerprint,
+    DocumentVersion,
+    SectionName,
+    ServiceName,
+    WorkspaceId,
+)
+from samphirespring.version.key_table import KeyTable
 from samphirespring.version.stamp import DocumentStamp
 from samphirespring.version.workspace_table import WorkspaceTable
 
@@ -59,7 +66,8 @@
         fleet: Settings of the whole fleet.
         services: Policies of all services.
         routes_by_host: Routes by host name, in the order in which they are tried.
-        workspaces: Policies of the workspaces.
+        workspaces: Policies of the workspaces, without their API keys.
+        keys: Workspaces by API key.
     """
 
     def __init__(
@@ -71,6 +79,7 @@
         services: Mapping[ServiceName, ServicePolicy],
         routes_by_host: Mapping[str, tuple[Route, ...]],
         workspaces: WorkspaceTable,
+        keys: KeyTable,
     ) -> None:
         self.stamp = stamp
         self.access = access
@@ -78,12 +87,18 @@
         self.services = services
         self._routes_by_host = routes_by_host
         self._workspaces = workspaces
+        self._keys = keys
 
     @property
     def version(self) -> DocumentVersion:
         """Version of the document."""
         return self.stamp.version
 
+    @property
+    def requires_keys(self) -> bool:
+        """Whether requests need an API key, except on routes that are exempt."""
+        return self.fleet.api_keys_required or self._keys.has_keys
+
     def find_route(self, *, host: str, method: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix.
 
@@ -108,6 +123,14 @@
         """
         return self._workspaces.find(workspace)
 
+    def find_key_holder(self, fingerprint: ApiKeyFingerprint) -> WorkspaceId | None:
+        """Return the workspace that holds an API key, or None if no workspace does.
+
+        Args:
+            fingerprint: Fingerprint of the key.
+        """
+        return self._keys.find(fingerprint)
+
 
 def order_routes(routes: list[Route]) -> tuple[Route, ...]:
     """Return the routes of one host in the order in which they are tried.
--- a/tests/document/field_pages.py
+++ b/tests/document/field_pages.py
@@ -18,9 +18,9 @@
 each team, whose name the team chooses (letters, digits, `_` and `-`, at most 100 characters). A
 section has at most 1,048,576 bytes of text, and a document has at most 2,000 sections. Unknown
 fields are errors. No service, workspace or route (host, path prefix and method) may appear in two
-sections, and every route's service must be defined in some section. Of each team's token, only the
-SHA-256 is stored; no two teams may have the same token, and some team must own the section
-`access`.
+sections, no API key may belong to two workspaces, and every route's service must be defined in some
+section. Of each team's token and each API key, only the SHA-256 is stored; no two teams may have
+the same token, and some team must own the section `access`.
 
 Each change names the version of the section that it is based on. A section's version is the version
 of the document that introduced its text.
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -146,6 +146,12 @@
       | the version is not above 5           |
       | the text is truncated                |
       | the kind is unknown                  |
+      | two tenants have the same key        |
+      | two tenants have the same name       |
+      | a tenant has a negative rate         |
+      | a tenant has a negative burst        |
+      | a tenant's key is empty              |
+      | a tenant's name contains a line      |
 
   Scenario Outline: What a route's kind allows to be repeated
     When a configuration with a route of kind "<kind>" is translated
@@ -157,6 +163,36 @@
       | unsafe | may not |
       | upload | may not |
 
+  Scenario Outline: What a tenant's rate and burst become
+    When a configuration with a tenant of rate <rate> and burst <burst> is translated
+    Then the tenant's quota is <quota>
+
+    Examples:
+      | rate    | burst   | quota                 |
+      | 47      | 47      | 47.0/s with burst 47  |
+      | 0       | 10      | none                  |
+      | omitted | omitted | none                  |
+      | omitted | 10      | none                  |
+      | 3       | 0       | 3.0/s with burst 1    |
+      | 3       | omitted | 3.0/s with burst 1    |
+      | 0.25    | 2       | 0.25/s with burst 2   |
+
+  Scenario: A configuration without tenants is translated as before they existed
+    When a configuration without tenants is translated for a deployment with strict revocation
+    Then its sections are those of a deployment without it
+    And no request needs a key
+
+  Scenario: Tenants' keys, priorities and names reach requests
+    When a configuration with the tenant "pulo780" of priority 1 is translated
+    Then a request with its key reaches its target with the tenant's name and without the key
+    And a request with an unknown key gets 401, whatever tenant it names
+    And a request for a route without authentication reaches its target without a tenant
+    And hosts run requests with keys for at most 4500 ms without a confirmation
+
+  Scenario: Requests need a key also if no tenant has one any more
+    When a configuration is translated whose only tenant has no key
+    Then a request with any key gets 401
+
   Scenario: Conflicting and repeated submissions by several operators
     Given a document state machine with revision 5
     When revision 7 based on 5 is submitted
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -15,7 +15,8 @@
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
 from samphirespring.platform.configuration import (
     OPERATOR_SECTION,
-    ServiceDefaults,
+    WORKSPACE_SECTION,
+    DeploymentDefaults,
     translate_configuration,
 )
 from samphirespring.platform.operator_http import ConfigurationApp
@@ -34,17 +35,21 @@
 from samphirespring.process.states import TargetPhase
 from samphirespring.process.targets import LeaveRecord, Locality
 from samphirespring.process.timers import ManualTimerService
-from samphirespring.request.body import EMPTY_BODY
+from samphirespring.request.authentication import authenticate
+from samphirespring.request.body import EMPTY_BODY, WholeBody
 from samphirespring.request.caller import ResponseMetadata
-from samphirespring.request.errors import DeadlineExpiredError, RefusedError
+from samphirespring.request.errors import ApiKeyUnknownError, DeadlineExpiredError, RefusedError
 from samphirespring.request.messages import Header, ResponseHead
 from samphirespring.request.states import Outcome
-from samphirespring.version.document import TeamSection
+from samphirespring.version.compilation import compile_document
+from samphirespring.version.document import FleetSection, TeamSection
+from samphirespring.version.parser import build_document_steps
 from samphirespring.version.states import PriorityClass
 
 DEPLOY = Path(__file__).resolve().parents[3] / "deploy"
 ADDRESS = "10.1.0.41:8628"
-SERVICE_DEFAULTS = ServiceDefaults()
+SERVICE_DEFAULTS = DeploymentDefaults()
+STRICT_DEFAULTS = DeploymentDefaults(key_lease_ms=4_500, quota_overshoot=0.1, quota_slack=20)
 
 
 def make_heartbeat(state="ready", sequence=1, started_ms=1000):
@@ -248,6 +253,15 @@
     }
 
 
+def make_tenant(name, *, keys=("key-1",), **spec):
+    spec = {"api-keys": list(keys), **spec}
+    return {"type": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
+def add_tenants(configuration, *tenants):
+    configuration["resources"] += tenants
+
+
 def make_invalid_configuration(fault):
     configuration = make_configuration(6)
     route = configuration["resources"][0]["spec"]
@@ -271,6 +285,20 @@
             return json.dumps(configuration).encode()[:-20]
         case "the kind is unknown":
             route["kind"] = "careless"
+        case "two tenants have the same key":
+            add_tenants(configuration, make_tenant("a"), make_tenant("b"))
+        case "two tenants have the same name":
+            add_tenants(configuration, make_tenant("a"), make_tenant("a", keys=["other"]))
+        case "a tenant has a negative rate":
+            add_tenants(configuration, make_tenant("a", **{"rate-per-s": -1}))
+        case "a tenant has a negative burst":
+            add_tenants(configuration, make_tenant("a", burst=-0.5))
+        case "a tenant's key is empty":
+            add_tenants(configuration, make_tenant("a", keys=[""]))
+        case "a tenant's name contains a line":
+            add_tenants(configuration, make_tenant("a\r\nx-other: 1"))
+        case _:
+            raise AssertionError(fault)
     return json.dumps(configuration).encode()
 
 
@@ -289,6 +317,132 @@
     assert context.section.routes[0].idempotent is (may == "may")
 
 
+@when("a configuration with a tenant of rate {rate} and burst {burst} is translated")
+def step_translate_quota(context, rate, burst):
+    sent = {"rate-per-s": rate, "burst": burst}
+    spec = {name: float(value) for name, value in sent.items() if value != "omitted"}
+    context.configuration = make_configuration(6)
+    add_tenants(context.configuration, make_tenant("a", **spec))
+    translate(context, context.configuration)
+
+
+@then("the tenant's quota is {quota}")
+def step_check_quota(context, quota):
+    found = context.document.teams[WORKSPACE_SECTION].workspaces["a"].quota
+    text = "none" if found is None else f"{found.requests_per_s}/s with burst {found.burst}"
+    assert text == quota, text
+
+
+def translate(context, configuration, defaults=STRICT_DEFAULTS):
+    """Translate a configuration, and check the sections as a control host does."""
+    text = json.dumps(configuration).encode()
+    context.submission = translate_configuration(text, defaults=defaults)
+    *_, context.document = build_document_steps(context.submission.sections.items(), version=1)
+    context.compiled = compile_document(context.document)
+
+
+@when("a configuration without tenants is translated for a deployment with strict revocation")
+def step_translate_without_tenants(context):
+    context.configuration = make_configuration(6)
+    translate(context, context.configuration)
+
+
+@then("its sections are those of a deployment without it")
+def step_check_same_sections(context):
+    text = json.dumps(context.configuration).encode()
+    plain = translate_configuration(text, defaults=SERVICE_DEFAULTS)
+    assert plain == context.submission
+    fleet = context.document.fleet
+    policy = fleet.caller_connections
+    assert fleet == FleetSection(caller_connections=policy, ledger_groups=0)
+
+
+@then("no request needs a key")
+def step_check_no_key_needed(context):
+    assert not context.compiled.requires_keys
+
+
+@when('a configuration with the tenant "{name}" of priority {priority:d} is translated')
+def step_translate_tenant(context, name, priority):
+    configuration = make_configuration(6)
+    configuration["resources"][1]["spec"]["auth-exempt"] = True
+    add_tenants(configuration, make_tenant(name, priority=priority))
+    context.tenant = (name, priority)
+    translate(context, configuration)
+
+
+@when("a configuration is translated whose only tenant has no key")
+def step_translate_tenant_without_key(context):
+    configuration = make_configuration(6)
+    add_tenants(configuration, make_tenant("a", keys=[]))
+    translate(context, configuration)
+
+
+def authenticate_request(context, path, *headers):
+    scope = {
+        "method": "GET",
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": [(b"host", b"a.example"), *headers],
+        "client": ("10.0.0.1", 5),
+    }
+    dialect = PlatformCallerDialect("recipes")
+    request = dialect.make_request("r1", scope, WholeBody(b""), context.compiled)
+    route = context.compiled.find_route(host="a.example", method="GET", path=path)
+    return authenticate(request, route=route, compiled=context.compiled)
+
+
+def read_tenant_headers(request):
+    names = (b"x-tenant", b"x-api-key")
+    return [(header.name, header.value) for header in request.headers if header.name in names]
+
+
+@then("a request with its key reaches its target with the tenant's name and without the key")
+def step_check_tenant_header(context):
+    name, priority = context.tenant
+    sent = [(b"x-api-key", b"key-1"), (b"X-Tenant", b"forged"), (b"x-tenant", b"too")]
+    request = authenticate_request(context, "/read/1", *sent)
+    assert read_tenant_headers(request) == [(b"x-tenant", name.encode())]
+    assert (request.workspace, request.rank) == (name, priority)
+
+
+@then("a request with an unknown key gets 401, whatever tenant it names")
+def step_check_unknown_key(context):
+    name = context.tenant[0].encode()
+    check_unauthorized(context, (b"x-api-key", b"key-2"), (b"x-tenant", name))
+    check_unauthorized(context, (b"x-tenant", name))
+
+
+def check_unauthorized(context, *headers):
+    try:
+        authenticate_request(context, "/read/1", *headers)
+    except ApiKeyUnknownError as error:
+        dialect = PlatformCallerDialect("recipes")
+        assert dialect.make_error_head(error, error.status, "r1", body_length=0).status == 401
+    else:
+        raise AssertionError("the request was accepted")
+
+
+@then("a request for a route without authentication reaches its target without a tenant")
+def step_check_exempt(context):
+    for key in (b"key-1", b"key-2"):
+        sent = [(b"x-api-key", key), (b"x-tenant", b"forged")]
+        request = authenticate_request(context, "/split/1", *sent)
+        assert read_tenant_headers(request) == []
+        assert request.workspace == ""
+
+
+@then("a request with any key gets 401")
+def step_check_any_key(context):
+    check_unauthorized(context, (b"x-api-key", b"key-1"))
+
+
+@then("hosts run requests with keys for at most {limit:d} ms without a confirmation")
+def step_check_lease(context, limit):
+    assert context.compiled.fleet.key_lease_ms == limit
+
+
 def make_app(proposer, document_machine):
     documents = DocumentService(
         state_machine=document_machine,
