A status outside 100 to 599 is no response of a backend server

Cause: operators of similar systems saw status 000 passed on to a client. The parser refused statuses below 100 and those without three digits, but passed 600 to 999 on; with a header or body that types a refusal they even counted as proof that nothing ran. Change: ResponseParser refuses them like 000, so that a read is repeated at another target and an action ends as `unknown` with 502. Tests at the caller's side of the real programs (reads, actions with and without a chunked body, refusals, interim responses before) and at the agent.

--- a/src/samphirespring/connection/response_parser.py
+++ b/src/samphirespring/connection/response_parser.py
@@ -20,6 +20,7 @@
 BODYLESS_STATUSES = frozenset({204, 304})
 FIRST_INTERIM_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 
 
 class ResponseInvalidError(SamphireError):
@@ -158,7 +159,7 @@
         if self._stage is not _Stage.HEAD:
             return
         status = self._parser.get_status_code()
-        if status < FIRST_INTERIM_STATUS:
+        if not FIRST_INTERIM_STATUS <= status <= LAST_STATUS:
             raise ResponseInvalidError(f"invalid status {status}")
         self._is_interim = status < FIRST_FINAL_STATUS
         if self._is_interim:
--- a/tests/features/outcomes.feature
+++ b/tests/features/outcomes.feature
@@ -53,5 +53,34 @@
       | shedding_untyped | unknown | 503    | 1        |
       | shedding_cut     | unknown | 502    | 1        |
 
+  # Guards against a status that is none: a caller would take it for the target's response, and a refusal in its body for proof that nothing ran.
+  Scenario Outline: A status that is none never reaches a caller
+    Given the targets of "<service>" on the first node's host send <response> with status "<status>"
+    When a caller reads 2 times from "<service>.wheatsheaf.example" at the first node
+    Then each response is complete with outcome "ran"
+    And at least one response took several attempts
+
+    Examples:
+      | status | response                   | service |
+      | 000    | a body                     | recipes |
+      | 600    | a chunked body             | scaler  |
+      | 000    | an interim response before | orders  |
+
+  Scenario Outline: An action whose response has a status that is none
+    Given all targets of "orders" send <response> with status "<status>"
+    When a caller posts <order> with a deadline of 2000 ms
+    Then the response has outcome "unknown" and status 502 after 1 attempt
+
+    Examples:
+      | status | response                   | order                |
+      | 000    | a body                     | a kit order          |
+      | 000    | a refusal                  | a kit order          |
+      | 000    | a chunked body             | a kit order          |
+      | 000    | a refusal                  | a streamed kit order |
+      | 099    | a refusal                  | a kit order          |
+      | 600    | a body                     | a kit order          |
+      | 600    | a refusal                  | a kit order          |
+      | 600    | an interim response before | a streamed kit order |
+
   Scenario: Targets with a health path are probed on their own host
     Then within 60 s every target has been probed, and each node's dump reports that all its probes succeeded
--- a/tests/features/responses.feature
+++ b/tests/features/responses.feature
@@ -69,6 +69,23 @@
       | two different lengths               | reset                             |
       | a length and chunks                 | reset                             |
 
+  # Guards against a header of a response without a valid status that passes for proof that nothing ran.
+  Scenario Outline: A response whose status is none is no response, and no refusal
+    When a backend server sends the status "<status>" and says that it didn't run the request
+    Then the exchange fails as "reset", as does one behind an interim response
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 20     |
+      | 101    |
+      | 600    |
+      | 999    |
+      | 1000   |
+      | -01    |
+      |        |
+
   # Guards against a success with an empty or short body, made of a head that stopped in the middle.
   Scenario Outline: A response that stops at any byte is never passed on as complete
     When the connection ends by a <kind> after each byte of <response>
--- a/tests/features/steps/outcomes_steps.py
+++ b/tests/features/steps/outcomes_steps.py
@@ -54,6 +54,31 @@
     change_behaviour(context, list_targets(context, service), "well", delay_ms=delay)
 
 
+RAW_RESPONSES = {
+    "a body": "HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}",
+    "a chunked body": "HTTP/1.1 {status} X\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\n{{}}\r\n0\r\n\r\n",
+    "an interim response before": "HTTP/1.1 100 Continue\r\n\r\n"
+    "HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}",
+    "a refusal": "HTTP/1.1 {status} X\r\nContent-Length: 20\r\n\r\n" '{{"code": "shedding"}}',
+}
+
+
+@given(
+    'the targets of "{service}" on the first node\'s host send {response} with status "{status}"'
+)
+def step_send_raw_on_host(context, service, response, status):
+    raw = RAW_RESPONSES[response].format(status=status)
+    host = read_host(context.fleet.example.nodes[0])
+    change_behaviour(context, list_targets(context, service, host=host), "raw", raw=raw)
+
+
+@given('all targets of "{service}" send {response} with status "{status}"')
+def step_send_raw_everywhere(context, service, response, status):
+    raw = RAW_RESPONSES[response].format(status=status)
+    change_behaviour(context, list_targets(context, service), "raw", raw=raw)
+
+
 @when('a caller reads {count:d} times from "{host}" at the first node')
 def step_read_times(context, count, host):
     address = find_caller_address(context)
@@ -125,8 +150,14 @@
         time.sleep(0.05)
 
 
-@when("a caller posts a kit order with a deadline of {deadline:d} ms")
-def step_post_order(context, deadline):
+ORDERS = {
+    "a kit order": b"{}",
+    "a streamed kit order": [b"{}" + b" " * 65_534] * 10,
+}
+
+
+@when("a caller posts {order} with a deadline of {deadline:d} ms")
+def step_post_order(context, order, deadline):
     headers = {
         "Host": "orders.wheatsheaf.example",
         "Samphire-Deadline-Ms": str(deadline),
@@ -135,7 +166,7 @@
     }
     headers["Idempotency-Key"] = headers["Idempotency-Key"].replace(" ", "-")
     context.response = send_request(
-        find_caller_address(context), "POST", "/kit-orders", headers=headers, body=b"{}"
+        find_caller_address(context), "POST", "/kit-orders", headers=headers, body=ORDERS[order]
     )
 
 
--- a/tests/features/steps/responses_steps.py
+++ b/tests/features/steps/responses_steps.py
@@ -251,6 +251,26 @@
     assert context.result is FAILURE_KINDS[kind], context.result
 
 
+@when('a backend server sends the status "{status}" and says that it didn\'t run the request')
+@when('a backend server sends the status "" and says that it didn\'t run the request')
+def step_send_status(context, status=""):
+    head = f"HTTP/1.1 {status} S\r\nX-Request-Id: r\r\nX-Not-Executed: 1\r\n"
+    response = head.encode() + b"Content-Length: 0\r\n\r\n"
+    context.results = []
+    for data in (response, b"HTTP/1.1 100 Continue\r\n\r\n" + response):
+
+        async def script(backend, stream, _, data=data):
+            await backend.send(stream, data)
+
+        run(context, script, lambda agent, b: agent.exchange(b), PlatformBackendDialect())
+        context.results.append(context.result)
+
+
+@then('the exchange fails as "{kind}", as does one behind an interim response')
+def step_check_both(context, kind):
+    assert context.results == [FAILURE_KINDS[kind]] * 2, context.results
+
+
 @given("a backend server that drops connections without notice after {idle_s:g} s")
 def step_dropping_backend(context, idle_s):
     async def script(backend, stream, _):
--- a/tests/fleet/backend.py
+++ b/tests/fleet/backend.py
@@ -32,6 +32,8 @@
     CUTTING = "cutting"
     RESETTING = "resetting"
     STALLING = "stalling"
+    RAW = "raw"
+    """Sends `raw` in place of a response, and closes the connection."""
 
 
 class Behaviour(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -40,6 +42,7 @@
     mode: Mode = Mode.HEALTHY
     delay_ms: float = 2.0
     share: float = 1.0
+    raw: str = ""
 
 
 class TargetSpec(msgspec.Struct, kw_only=True):
@@ -174,6 +177,11 @@
             await _respond(send, 503, b"try later")
         elif mode is Mode.STALLING:
             await anyio.sleep(3600)
+        elif mode is Mode.RAW:
+            # An ASGI server refuses to write what no status line may hold.
+            transport = send.__self__.transport
+            transport.write(self.behaviour.raw.encode())
+            transport.close()
         elif mode is Mode.RESETTING:
             raise ConnectionError("mode is resetting")
         elif mode is Mode.CUTTING:
