Let attempts wait for a slot in an order where a service asks for it

An agent's queue becomes an abstract base class; WaitingRoom orders by rank, aim, fair shares of workspaces and arrival, refuses at once what can't be in time, and gives back what waits at a target that turns suspect. services.*.admission switches it on; the platform's adapter where the contract on such load is in force. Full targets cost more the more wait. Measured: feature waiting, in virtual time: a burst of 1.6 times the slots for 6.5 s is served within the aim; a workspace that sends 16 times its usual takes nothing from two others.

--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -25,7 +25,7 @@
 from samphirespring.version.ids import Revision, SectionName, ServiceName, WorkspaceId
 from samphirespring.version.key_table import compute_digest
 from samphirespring.version.parser import DocumentInvalidError
-from samphirespring.version.states import DetectionMode, PriorityClass
+from samphirespring.version.states import AdmissionMode, DetectionMode, PriorityClass
 
 OPERATOR_SECTION = SectionName("operator")
 """Section that holds the operator's routes and services."""
@@ -58,6 +58,7 @@
         retry_floor: Additional attempts of all fronts together in a window, besides `retry_share`.
         retry_window_s: Length of the window, in seconds.
         suspicion: How often and for how long targets have short faults.
+        admission: What happens to attempts that find no free slot.
         key_lease_ms: Longest time for which a host runs requests with keys without a confirmation
             that its document is the newest, in milliseconds; 0 sets no limit.
         quota_overshoot: Share by which a quota may be exceeded within a window.
@@ -70,6 +71,7 @@
     retry_floor: float = 12.0
     retry_window_s: float = 60.0
     suspicion: SuspicionPolicy = SuspicionPolicy(share=0.3, span_s=2.7)
+    admission: AdmissionMode = AdmissionMode.BRIEF
     key_lease_ms: int = 0
     quota_overshoot: float = 0.0
     quota_slack: int = 0
@@ -261,6 +263,7 @@
         floor=defaults.floor,
         detection=DetectionPolicy(mode=DetectionMode.FAST),
         suspicion=defaults.suspicion,
+        admission=defaults.admission,
         refusals_are_executions=True,
         retry_share=defaults.retry_share,
         retry_floor=defaults.retry_floor,
--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -7,10 +7,14 @@
 from samphirespring.platform.settings import PlatformControlSettings
 from samphirespring.platform.units import parse_ms, parse_seconds
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
+from samphirespring.version.states import AdmissionMode
 
 KEY_LEASE_SHARE = 0.9
 """Share of the time until a withdrawn key must not be used that permissions to use keys last."""
 
+PRESSURE_CONTRACT = "pressure"
+"""Contract of deployments whose callers ask for more than the targets have room for, at times."""
+
 FRONT_BUDGET_SHARE = 0.6
 """Share of the fleet's retry budget that the fronts may spend.
 
@@ -45,6 +49,7 @@
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
+        admission=_read_admission(settings),
         key_lease_ms=_read_key_lease_ms(settings),
         quota_overshoot=float(bounds.get("quota-overshoot", "0")),
         quota_slack=int(bounds.get("quota-slack", "0")),
@@ -52,6 +57,11 @@
     )
 
 
+def _read_admission(settings: PlatformControlSettings) -> AdmissionMode:
+    """Let attempts wait in an order where the contract on load beyond the targets' room holds."""
+    return AdmissionMode.QUEUE if PRESSURE_CONTRACT in settings.contracts else AdmissionMode.BRIEF
+
+
 def _read_key_lease_ms(settings: PlatformControlSettings) -> int:
     bounds = settings.bounds
     if bounds.get("strict-revoke") is not True:
--- a/src/samphirespring/platform/settings.py
+++ b/src/samphirespring/platform/settings.py
@@ -133,6 +133,9 @@
     operator_listen: str
     data_folder: str
     first_start: bool
+    contracts: tuple[str, ...] = ()
+    """Parts of the platform's rules that are in force."""
+
     tolerated_losses: int = 2
     """Control hosts that may be lost at the same time."""
 
--- a/src/samphirespring/process/agent/admission_queue.py
+++ b/src/samphirespring/process/agent/admission_queue.py
@@ -1,6 +1,7 @@
-"""Bounded queue of attempts that wait for a slot of one target."""
+"""Interface of the queues in which attempts wait for a slot of one target."""
 
-from bisect import insort
+import math
+from abc import ABC, abstractmethod
 
 import msgspec
 
@@ -9,12 +10,6 @@
 from samphirespring.request.states import RefusalCode
 from samphirespring.version.states import PriorityClass
 
-MAX_WAIT_S = 0.05
-"""Longest wait for a slot, in seconds; after it the front can try another target."""
-
-HELPER_SHARE = 0.5
-"""Share of the queue that attempts of the helper class may fill."""
-
 
 class Admission(msgspec.Struct, frozen=True, kw_only=True):
     """Permission to run one attempt in a slot of a target."""
@@ -28,14 +23,19 @@
 
     Attributes:
         request: The attempt.
+        arrived_at_s: Time of its arrival, in seconds of monotonic time.
         deadline_at_s: The caller's deadline, in seconds of monotonic time.
         wait_ends_at_s: End of the wait, in seconds of monotonic time.
+        aim_needs_start_by_s: Latest start for a response within the aim, in seconds of monotonic
+            time; infinite without an aim.
         reply: Receives the admission or the refusal.
     """
 
     request: AttemptRequest
+    arrived_at_s: float
     deadline_at_s: float
     wait_ends_at_s: float
+    aim_needs_start_by_s: float = math.inf
     reply: ReplySlot[Admission | AttemptRefused]
 
     @property
@@ -61,75 +61,71 @@
         self.refuse(RefusalCode.EXPIRED if expired else RefusalCode.NO_SLOT)
 
 
-class AdmissionQueue:
-    """Bounded queue: interactive reads and actions precede helpers, which are shed first.
+class SlotPace(msgspec.Struct, frozen=True, kw_only=True):
+    """How fast the slots of a target become free.
 
-    Interactive reads and actions are ordered by rank, lowest first, and by arrival within a rank.
+    Attributes:
+        slots: Requests that the target runs concurrently.
+        run_s: Usual duration of a request, in seconds.
+        slow_run_s: Duration that few requests exceed, in seconds.
     """
 
-    def __init__(self) -> None:
-        self._urgent: list[Waiter] = []
-        self._helpers: list[Waiter] = []
+    slots: int
+    run_s: float
+    slow_run_s: float
+
 
+class AdmissionQueue(ABC):
+    """Attempts that wait for a slot; decides who waits, who is refused, and who goes first."""
+
+    rechecks_suspicion = False
+    """Whether attempts wait so long that the target may turn suspect meanwhile."""
+
+    @abstractmethod
     def __len__(self) -> int:
-        return len(self._urgent) + len(self._helpers)
+        """Return the number of waiting attempts."""
+
+    @abstractmethod
+    def find_wait_end(self, request: AttemptRequest, *, pace: SlotPace, now_s: float) -> float:
+        """Return until when an attempt may wait, in seconds of monotonic time.
 
-    def offer(self, waiter: Waiter, *, capacity: int) -> RefusalCode | None:
+        Args:
+            request: The attempt, which arrives now.
+            pace: How fast slots become free.
+            now_s: Monotonic time, in seconds.
+        """
+
+    @abstractmethod
+    def offer(self, waiter: Waiter, *, pace: SlotPace, now_s: float) -> RefusalCode | None:
         """Enqueue an attempt, or return why it is refused.
 
         Args:
             waiter: The attempt.
-            capacity: Largest number of waiting attempts.
+            pace: How fast slots become free.
+            now_s: Monotonic time, in seconds.
         """
-        if waiter.is_helper:
-            if len(self) >= capacity * HELPER_SHARE:
-                return RefusalCode.SHEDDING
-            self._helpers.append(waiter)
-            return None
-        if len(self) >= capacity and not self._shed_helper():
-            return RefusalCode.NO_SLOT
-        insort(self._urgent, waiter, key=lambda other: other.request.rank)
-        return None
-
-    def pop_next(self, *, now_s: float) -> Waiter | None:
+
+    @abstractmethod
+    def pop_next(self, *, pace: SlotPace, now_s: float) -> Waiter | None:
         """Remove and return the attempt for the next slot; refuse expired and abandoned ones.
 
         Args:
+            pace: How fast slots become free.
             now_s: Monotonic time, in seconds.
         """
-        for queue in (self._urgent, self._helpers):
-            while queue:
-                waiter = queue.pop(0)
-                if waiter.wait_ends_at_s > now_s and not waiter.reply.abandoned:
-                    return waiter
-                waiter.expire(now_s)
-        return None
 
+    @abstractmethod
     def remove(self, waiter: Waiter) -> bool:
         """Remove an attempt, and return whether it was still in the queue.
 
         Args:
             waiter: The attempt.
         """
-        queue = self._helpers if waiter.is_helper else self._urgent
-        if waiter not in queue:
-            return False
-        queue.remove(waiter)
-        return True
 
+    @abstractmethod
     def refuse_all(self, code: RefusalCode) -> None:
         """Refuse every waiting attempt.
 
         Args:
             code: Reason of the refusal.
         """
-        for waiter in (*self._urgent, *self._helpers):
-            waiter.refuse(code)
-        self._urgent.clear()
-        self._helpers.clear()
-
-    def _shed_helper(self) -> bool:
-        if not self._helpers:
-            return False
-        self._helpers.pop().refuse(RefusalCode.SHEDDING)
-        return True
--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -1,12 +1,13 @@
 """The agent: admits attempts into the slots of its host's targets and reports their state."""
 
+import math
 from functools import partial
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
-from samphirespring.process.agent.admission_queue import MAX_WAIT_S, Admission, Waiter
+from samphirespring.process.agent.admission_queue import Admission, SlotPace, Waiter
 from samphirespring.process.agent.agent_messages import (
     AdmitAttempt,
     AgentDump,
@@ -40,7 +41,7 @@
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ReplyT, ask
-from samphirespring.process.metrics.metric_names import Counter, Gauge
+from samphirespring.process.metrics.metric_names import Counter, Gauge, Timing
 from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.states import TargetCondition, TargetPhase
 from samphirespring.process.targets import (
@@ -197,14 +198,17 @@
 
     def _enqueue(self, target: LocalTarget, message: AdmitAttempt) -> RefusalCode | None:
         now_s = self._timers.read_now_s()
-        deadline_at_s = now_s + message.request.remaining_ms / 1_000
+        request = message.request
+        pace = target.pace
         waiter = Waiter(
-            request=message.request,
-            deadline_at_s=deadline_at_s,
-            wait_ends_at_s=min(deadline_at_s, now_s + MAX_WAIT_S),
+            request=request,
+            arrived_at_s=now_s,
+            deadline_at_s=now_s + request.remaining_ms / 1_000,
+            wait_ends_at_s=target.queue.find_wait_end(request, pace=pace, now_s=now_s),
+            aim_needs_start_by_s=_find_aim_start(request, pace=pace, now_s=now_s),
             reply=message.reply,
         )
-        code = target.queue.offer(waiter, capacity=target.slots)
+        code = target.queue.offer(waiter, pace=pace, now_s=now_s)
         if code is None:
             self._wait_tasks.start_soon(self._expire_waiter, target, waiter)
         return code
@@ -223,11 +227,24 @@
 
     def _admit_waiting(self, target: LocalTarget) -> None:
         while target.running < target.slots:
-            waiter = target.queue.pop_next(now_s=self._timers.read_now_s())
+            waiter = target.queue.pop_next(pace=target.pace, now_s=self._timers.read_now_s())
             if waiter is None:
                 return
+            code = self._recheck(target, waiter.request)
+            if code is not None:
+                waiter.refuse(code)
+                continue
+            self._metrics.record_duration(
+                Timing.AGENT_SLOT_WAIT, self._timers.read_now_s() - waiter.arrived_at_s
+            )
             waiter.reply.send(self._start(target, waiter.request))
 
+    def _recheck(self, target: LocalTarget, request: AttemptRequest) -> RefusalCode | None:
+        """Return why an attempt that has waited isn't started after all, or None."""
+        if not target.queue.rechecks_suspicion:
+            return None
+        return self._check_suspicion(target, request)
+
     def _start(self, target: LocalTarget, request: AttemptRequest) -> Admission:
         return target.start(request.attempt, now_s=self._timers.read_now_s())
 
@@ -461,6 +478,13 @@
     )
 
 
+def _find_aim_start(request: AttemptRequest, *, pace: SlotPace, now_s: float) -> float:
+    """Return the latest start for a response within the aim, in seconds of monotonic time."""
+    if request.aim_left_ms is None:
+        return math.inf
+    return now_s + request.aim_left_ms / 1_000 - pace.slow_run_s
+
+
 def _is_as_slow_as_usual(message: FinishAttempt) -> bool:
     """Return whether an attempt took as long as three quarters of the pool's responses do."""
     reference = None if message.terms is None else message.terms.reference
--- a/src/samphirespring/process/agent/announced_targets.py
+++ b/src/samphirespring/process/agent/announced_targets.py
@@ -142,6 +142,7 @@
         """
         model = self._policies.find_fault_model(target.announcement.service)
         target.use_fault_model(model, now_s=now_s)
+        target.use_admission(self._policies.find_admission(target.announcement.service))
 
     def _is_latest(self, target: LocalTarget) -> bool:
         return self._order.is_latest(target.target, target.announcement)
--- a/src/samphirespring/process/agent/local_policies.py
+++ b/src/samphirespring/process/agent/local_policies.py
@@ -7,6 +7,7 @@
 from samphirespring.process.detection.models import make_fault_model
 from samphirespring.version.document import DetectionPolicy, ServicePolicy
 from samphirespring.version.ids import DocumentVersion, ServiceName
+from samphirespring.version.states import AdmissionMode
 
 DEFAULT_POLICY = ServicePolicy()
 
@@ -57,6 +58,14 @@
         """
         return make_fault_model(self._services.get(service, DEFAULT_POLICY))
 
+    def find_admission(self, service: ServiceName) -> AdmissionMode:
+        """Return what happens to attempts that find no free slot at a service's targets.
+
+        Args:
+            service: The service.
+        """
+        return self._services.get(service, DEFAULT_POLICY).admission
+
     def find_detection(self, service: ServiceName) -> DetectionPolicy:
         """Return the policy by which a service's targets are evaluated and probed.
 
--- a/src/samphirespring/process/agent/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
-from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue
+from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue, SlotPace
 from samphirespring.process.agent.agent_messages import Announcement, LocalTargetDump
+from samphirespring.process.agent.brief_queue import BriefQueue
+from samphirespring.process.agent.waiting_room import WaitingRoom
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.detection.target_evaluator import TargetEvaluator
 from samphirespring.process.ids import TargetId
@@ -14,6 +16,10 @@
 from samphirespring.process.targets import TargetLoad
 from samphirespring.request.ids import AttemptId
 from samphirespring.request.states import RefusalCode
+from samphirespring.version.states import AdmissionMode
+
+DEFAULT_RUN_S = 0.5
+"""Duration that a request is taken to have while the pool's isn't known, in seconds."""
 
 
 class LocalTarget(msgspec.Struct, kw_only=True):
@@ -26,6 +32,7 @@
         lease_expires_at_s: End of the lease, in seconds of monotonic time.
         running: Attempts in flight.
         queue: Attempts that wait for a slot.
+        admission: What happens to attempts that find no free slot.
         withdrawn: Whether it was withdrawn; it is dropped once no attempt is in flight.
         evaluator: Derives the target's condition from the outcomes of attempts and probes.
         suspicion: Tracks short faults, if the service's policy enables it.
@@ -38,7 +45,8 @@
     evaluator: TargetEvaluator
     suspicion: Suspicion | None = None
     running: int = 0
-    queue: AdmissionQueue = msgspec.field(default_factory=AdmissionQueue)
+    queue: AdmissionQueue = msgspec.field(default_factory=BriefQueue)
+    admission: AdmissionMode = AdmissionMode.BRIEF
     withdrawn: bool = False
 
     def renew(
@@ -86,6 +94,28 @@
         else:
             self.suspicion.use_model(model, now_s=now_s)
 
+    @property
+    def pace(self) -> SlotPace:
+        """How fast the slots become free, by the usual duration in the pool."""
+        reference = self.evaluator.reference
+        if reference is None:
+            return SlotPace(slots=self.slots, run_s=DEFAULT_RUN_S, slow_run_s=DEFAULT_RUN_S)
+        return SlotPace(
+            slots=self.slots, run_s=reference.read_p50_s(), slow_run_s=reference.read_p75_s()
+        )
+
+    def use_admission(self, mode: AdmissionMode) -> None:
+        """Set what happens to attempts that find no free slot; those that wait are refused.
+
+        Args:
+            mode: What happens to them.
+        """
+        if mode is self.admission:
+            return
+        self.queue.refuse_all(RefusalCode.NO_SLOT)
+        self.admission = mode
+        self.queue = WaitingRoom() if mode is AdmissionMode.QUEUE else BriefQueue()
+
     def withdraw(self) -> None:
         """Refuse new and waiting attempts from now on."""
         self.announcement = msgspec.structs.replace(self.announcement, phase=TargetPhase.DRAINING)
--- /dev/null
+++ b/src/samphirespring/process/agent/waiting_room.py
@@ -0,0 +1,159 @@
+"""Queue of attempts that wait for a slot as long as they can still be served in time.
+
+It is designed for a load that exceeds the slots of a service for some seconds, while callers give
+their requests several seconds. Attempts that wait in an order need no repeated tries, which serve
+whoever happens to ask when a slot becomes free.
+"""
+
+from collections import Counter, deque
+
+from samphirespring.process.agent.admission_queue import AdmissionQueue, SlotPace, Waiter
+from samphirespring.process.agent.fair_shares import FairShares
+from samphirespring.request.messages import AttemptRequest
+from samphirespring.request.states import RefusalCode
+from samphirespring.version.ids import WorkspaceId
+
+CAPACITY = 200
+"""Largest number of waiting attempts, which bounds the memory that they take."""
+
+MAX_READ_WAIT_S = 0.5
+"""Longest wait of an attempt that may be repeated, in seconds. Its front starts another attempt
+elsewhere once this one takes longer than usual, and can't tell a wait from a stall."""
+
+LESS_URGENT_INTERVAL = 8
+"""One start in so many goes to an attempt that isn't among the most urgent, so that none starve."""
+
+START_MARGIN = 1.1
+"""Factor on the expected time until an attempt starts: who is just in time as a rule would often
+wait to the end and be refused then."""
+
+_Order = tuple[bool, int, bool, float, float]
+"""Whether a helper, rank, whether late for its aim, position of its workspace, arrival."""
+
+
+class WaitingRoom(AdmissionQueue):
+    """Orders waiting attempts by what their callers lose, and refuses who can't be in time.
+
+    First come lower ranks, then attempts that can still be within their aim, then workspaces that
+    had fewer starts, then earlier arrivals. Attempts of the helper class come last.
+    """
+
+    rechecks_suspicion = True
+
+    def __init__(self) -> None:
+        self._waiters: list[Waiter] = []
+        self._shares = FairShares()
+        self._start_count = 0
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def find_wait_end(self, request: AttemptRequest, *, pace: SlotPace, now_s: float) -> float:
+        """Return until when an attempt may wait, in seconds of monotonic time.
+
+        An attempt that starts later isn't expected to end before its deadline.
+        """
+        remaining_s = request.remaining_ms / 1_000
+        wait_s = max(0.0, remaining_s - pace.slow_run_s)
+        return now_s + (min(wait_s, MAX_READ_WAIT_S) if request.idempotent else wait_s)
+
+    def offer(self, waiter: Waiter, *, pace: SlotPace, now_s: float) -> RefusalCode | None:
+        """Enqueue an attempt, or return why it is refused.
+
+        Attempts behind it that can't be in time any more are refused as well, at once.
+        """
+        self._waiters.append(waiter)
+        for refused in self._list_late(pace, now_s=now_s):
+            self._waiters.remove(refused)
+            if refused is waiter:
+                return _choose_code(waiter)
+            refused.refuse(_choose_code(refused))
+        return None
+
+    def pop_next(self, *, pace: SlotPace, now_s: float) -> Waiter | None:
+        """Remove and return the attempt for the next slot; refuse expired and abandoned ones.
+
+        Others that can't be in time any more are refused as well, at once.
+        """
+        self._refuse_expired(now_s)
+        if not self._waiters:
+            return None
+        waiter = self._arrange(now_s)[0]
+        self._start_count += 1
+        self._waiters.remove(waiter)
+        self._shares.record_start(waiter.request.workspace)
+        for late in self._list_late(pace, now_s=now_s):
+            self._waiters.remove(late)
+            late.refuse(_choose_code(late))
+        return waiter
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Remove an attempt, and return whether it was still in the queue."""
+        if waiter not in self._waiters:
+            return False
+        self._waiters.remove(waiter)
+        return True
+
+    def refuse_all(self, code: RefusalCode) -> None:
+        """Refuse every waiting attempt."""
+        for waiter in self._waiters:
+            waiter.refuse(code)
+        self._waiters.clear()
+
+    def _refuse_expired(self, now_s: float) -> None:
+        expired = [w for w in self._waiters if w.wait_ends_at_s <= now_s or w.reply.abandoned]
+        for waiter in expired:
+            self._waiters.remove(waiter)
+            waiter.expire(now_s)
+
+    def _list_late(self, pace: SlotPace, *, now_s: float) -> list[Waiter]:
+        """Return the attempts that won't start before the end of their wait, or beyond capacity."""
+        interval_s = START_MARGIN * pace.run_s / max(1, pace.slots)
+        late: list[Waiter] = []
+        starts = 0
+        for waiter in self._arrange(now_s):
+            starts_at_s = now_s + (starts + 1) * interval_s
+            if starts >= CAPACITY or starts_at_s > waiter.wait_ends_at_s:
+                late.append(waiter)
+            else:
+                starts += 1
+        return late
+
+    def _arrange(self, now_s: float) -> list[Waiter]:
+        """Return the attempts in the order in which they are to start."""
+        ranked = self._sort(now_s)
+        if not ranked:
+            return []
+        most_urgent = ranked[0].request.rank
+        lower = deque(waiter for waiter in self._waiters if waiter.request.rank != most_urgent)
+        if not lower:
+            return ranked
+        arranged: dict[int, Waiter] = {}
+        for waiter in ranked:
+            if (self._start_count + len(arranged) + 1) % LESS_URGENT_INTERVAL == 0:
+                while lower and id(lower[0]) in arranged:
+                    lower.popleft()
+                if lower:
+                    arranged[id(lower[0])] = lower[0]
+            arranged.setdefault(id(waiter), waiter)
+        return list(arranged.values())
+
+    def _sort(self, now_s: float) -> list[Waiter]:
+        """Return the attempts by what their callers lose, most first."""
+        counts: Counter[WorkspaceId] = Counter()
+        keys: dict[int, _Order] = {}
+        for waiter in self._waiters:
+            workspace = waiter.request.workspace
+            keys[id(waiter)] = (
+                waiter.is_helper,
+                waiter.request.rank,
+                waiter.aim_needs_start_by_s < now_s,
+                self._shares.read_position(workspace) + counts[workspace],
+                waiter.arrived_at_s,
+            )
+            counts[workspace] += 1
+        return sorted(self._waiters, key=lambda waiter: keys[id(waiter)])
+
+
+def _choose_code(waiter: Waiter) -> RefusalCode:
+    return RefusalCode.SHEDDING if waiter.is_helper else RefusalCode.NO_SLOT
--- a/src/samphirespring/process/detection/reference.py
+++ b/src/samphirespring/process/detection/reference.py
@@ -30,6 +30,10 @@
         """Return the 25th percentile of the latency, in seconds."""
         return math.exp(decode_log_latency(self.p25))
 
+    def read_p50_s(self) -> float:
+        """Return the median of the latency, in seconds."""
+        return math.exp(decode_log_latency(self.p50))
+
     def read_p75_s(self) -> float:
         """Return the 75th percentile of the latency, in seconds."""
         return math.exp(decode_log_latency(self.p75))
--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -88,6 +88,7 @@
 
     FRONT_REQUEST_DURATION = "front.request_duration"
     AGENT_DETECTION_TIME = "agent.detection_time"
+    AGENT_SLOT_WAIT = "agent.slot_wait"
     AGENT_PROBE_DURATION = "agent.probe_duration"
     REPLICATION_WRITE = "replication.write"
 
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -50,8 +50,8 @@
             return model.share
         return model.decay(self.risk, now_s - self.risk_reported_at_s)
 
-    def estimate_free_slots(self, now_s: float) -> float:
-        """Estimate the free slots.
+    def estimate_room(self, now_s: float) -> float:
+        """Estimate the free slots; below 0, the number of attempts that wait for one.
 
         The reported load of other fronts decays; the attempts of this front count in full.
 
@@ -61,7 +61,24 @@
         slots = self.candidate.load.slots
         load_weight = math.exp(-max(0.0, now_s - self.load_reported_at_s) / LOAD_DECAY_S)
         free_without_own = slots - (slots - self.free_without_own) * load_weight
-        return max(0.0, min(float(slots), free_without_own) - self.in_flight)
+        return min(float(slots), free_without_own) - self.in_flight
+
+    def make_choice(self, model: FaultModel | None, now_s: float) -> Choice:
+        """Return the target with its current estimates.
+
+        Args:
+            model: Fault model of the service; None if faults aren't tracked.
+            now_s: Monotonic time, in seconds.
+        """
+        room = self.estimate_room(now_s)
+        return Choice(
+            candidate=self.candidate,
+            free_slots=max(0.0, room),
+            waiting=max(0.0, -room),
+            risk=self.estimate_risk(model, now_s),
+            risk_age_s=now_s - self.risk_reported_at_s,
+            sent_age_s=now_s - self.sent_at_s,
+        )
 
     def update_load(self, load: TargetLoad, *, now_s: float) -> None:
         """Update the load from the end of one of the front's attempts.
@@ -208,19 +225,7 @@
         if tiers is None:
             tiers = self._choose_tiers(region_hosts, subset_size, whole)
             self._tiers[whole] = tiers
-        return [
-            [
-                Choice(
-                    candidate=member.candidate,
-                    free_slots=member.estimate_free_slots(now_s),
-                    risk=member.estimate_risk(model, now_s),
-                    risk_age_s=now_s - member.risk_reported_at_s,
-                    sent_age_s=now_s - member.sent_at_s,
-                )
-                for member in tier
-            ]
-            for tier in tiers
-        ]
+        return [[member.make_choice(model, now_s) for member in tier] for tier in tiers]
 
     def _choose_tiers(
         self, region_hosts: Collection[HostId], subset_size: int, whole: Distance
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -149,6 +149,7 @@
     candidate: Candidate,
     document_version: DocumentVersion,
     remaining_ms: int,
+    age_ms: int = 0,
 ) -> AttemptRequest:
     """Return the message that requests a new attempt at a caller's request from an agent.
 
@@ -158,6 +159,7 @@
         candidate: The target.
         document_version: Version of the document that contains the route.
         remaining_ms: Time remaining until the caller's deadline, in milliseconds.
+        age_ms: Time since the request arrived, in milliseconds.
     """
     inline = request.body.inline
     return AttemptRequest(
@@ -183,4 +185,5 @@
         terms=candidate.terms,
         workspace=request.workspace,
         api_key=request.api_key,
+        aim_left_ms=policy.aim_ms - age_ms if policy.aim_ms else None,
     )
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -173,6 +173,7 @@
             candidate=candidate,
             document_version=self._document_version,
             remaining_ms=self._compute_remaining_ms(),
+            age_ms=self._measure_age_ms(),
         )
         self._tried.append(candidate)
         trace = AttemptTrace(candidate=candidate, started_ms=self._measure_age_ms())
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -81,6 +81,10 @@
     api_key: ApiKeyFingerprint | None = None
     """Fingerprint of the API key that the request depends on; None if it needs none."""
 
+    aim_left_ms: int | None = None
+    """Time left until the request's aim, in milliseconds; below 0 once it has passed, None without
+    an aim."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -33,6 +33,9 @@
 FULL_COST = 0.3
 """Cost of a target without a free slot."""
 
+WAITING_COST = 0.1
+"""Added cost of a target at which as many attempts wait as it has slots; fewer cost their share."""
+
 TRIED_COST = 1.0
 """Cost of a target that already failed or refused the request."""
 
@@ -248,7 +251,7 @@
     cost = _get_risk(choice)
     slots = choice.candidate.load.slots
     if choice.free_slots < 1.0:
-        cost += FULL_COST
+        cost += FULL_COST + WAITING_COST * min(1.0, choice.waiting / slots)
     else:
         cost += BUSY_COST * (1.0 - min(1.0, choice.free_slots / slots))
     if choice.candidate.target in tried:
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -49,6 +49,9 @@
 
     candidate: Candidate
     free_slots: float
+    waiting: float = 0.0
+    """Attempts of the table's own fronts that wait for a slot."""
+
     risk: float | None = None
     """Probability that it is in a fault now; None if the service's policy has no suspicion."""
 
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -14,7 +14,7 @@
     TeamName,
     WorkspaceId,
 )
-from samphirespring.version.states import DetectionMode, PriorityClass
+from samphirespring.version.states import AdmissionMode, DetectionMode, PriorityClass
 
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
@@ -136,6 +136,10 @@
     retry_window_s: PositiveFloat = 60.0
     """Window of the retry budget: time for which a request or a retry counts, in seconds."""
 
+    admission: AdmissionMode = AdmissionMode.BRIEF
+    """What happens to attempts that find no free slot: `brief` lets them try other targets, `queue`
+    lets them wait by rank, aim and fair shares of the workspaces as long as they can be in time."""
+
     refusals_are_executions: bool = False
     """Whether retries after a backend server's own refusal count as retries of executions. Its
     refusals cost little, so retries after them are limited to one for each request."""
--- a/src/samphirespring/version/states.py
+++ b/src/samphirespring/version/states.py
@@ -11,6 +11,16 @@
     HELPER = "helper"
 
 
+class AdmissionMode(Enum):
+    """What happens to attempts that find no free slot at a target."""
+
+    BRIEF = "brief"
+    """They wait for some hundredths of a second, and are then tried elsewhere."""
+
+    QUEUE = "queue"
+    """They wait in an order as long as they can be served in time."""
+
+
 class DetectionMode(Enum):
     """Whether a service prefers short detection times or few false ejections."""
 
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -7,8 +7,9 @@
 
 from front.agent_load import LoadedAgent, make_attempt
 from samphirespring.connection.refusals import BodyRefusalReader
-from samphirespring.process.agent.admission_queue import Admission, AdmissionQueue, Waiter
+from samphirespring.process.agent.admission_queue import Admission, SlotPace, Waiter
 from samphirespring.process.agent.agent_messages import DrainHost, UsePolicies
+from samphirespring.process.agent.brief_queue import BriefQueue
 from samphirespring.process.detection.classification import ResponseInspector
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.summaries import encode_log_latency
@@ -258,7 +259,8 @@
 
 
 def check_queue(steps, capacity):
-    queue = AdmissionQueue()
+    queue = BriefQueue()
+    pace = SlotPace(slots=capacity, run_s=0.01, slow_run_s=0.01)
     now_s = 0.0
     waiting = []
     slots = []
@@ -266,12 +268,13 @@
         if isinstance(step, PriorityClass):
             waiter = Waiter(
                 request=make_attempt(step, service="s", remaining_ms=1_000),
+                arrived_at_s=now_s,
                 deadline_at_s=now_s + 1.0,
                 wait_ends_at_s=now_s + 0.05,
                 reply=CountingSlot(),
             )
             slots.append(waiter.reply)
-            code = queue.offer(waiter, capacity=capacity)
+            code = queue.offer(waiter, pace=pace, now_s=now_s)
             if code is None:
                 waiting.append(waiter)
             else:
@@ -279,7 +282,7 @@
                 assert (code is RefusalCode.SHEDDING) == waiter.is_helper
         elif step == "free a slot":
             unexpired = [w for w in waiting if w.wait_ends_at_s > now_s and not w.reply.count]
-            popped = queue.pop_next(now_s=now_s)
+            popped = queue.pop_next(pace=pace, now_s=now_s)
             expected = next((w for w in unexpired if not w.is_helper), next(iter(unexpired), None))
             assert popped is expected
             if popped is not None:
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -682,6 +682,7 @@
         "internal-ports.1": 7615,
         "seeds": ["10.2.0.9:8620", "10.1.0.41:8620"],
         "bounds": {"grace": "6s", "retry-budget-slack": 56, "floor-share": 0.7},
+        "contracts": ["base", "pressure"],
         "listen.outbound": "10.1.0.41:8629",
         "listen.control": "10.1.0.41:8620",
         "listen.ready": "10.1.0.41:8625",
--- /dev/null
+++ b/tests/features/waiting.feature
@@ -0,0 +1,38 @@
+Feature: Attempts wait for a slot in an order
+  Where a service lets attempts wait, they wait at the agent by rank, aim and fair shares of the
+  workspaces, as long as they can be served in time. What can't be in time is refused at once.
+
+  # Guards against requests that are refused within half a second although their callers give them eight.
+  Scenario: A burst that exceeds the slots for some seconds is served within the aim
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When actions of rank 2 arrive at 4 per second, and at 10 per second from 2 s to 8.5 s
+    Then all attempts were admitted, and ended within their aim of 5000 ms
+
+  Scenario: Attempts that can't be in time are refused at once, and the more urgent ones are served
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When actions of rank 2 arrive at 15 per second for 20 s, and actions of rank 0 at 2 per second
+    Then all attempts of rank 0 ended within 1600 ms
+    And each admitted attempt ended before its deadline
+    And no attempt waited to the end of its time to be refused then
+    And the slots were never idle while attempts waited
+
+  Scenario: A workspace that sends many times its usual takes nothing from the others
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When workspace "hot" sends 16 actions per second for 15 s, and workspaces "a" and "b" send 1 each
+    Then all attempts of "a" and "b" ended within their aim of 5000 ms
+    And "hot" got the rest of the slots
+
+  Scenario: Lower ranks don't starve
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When actions of rank 0 arrive at 15 per second for 20 s, and actions of rank 2 at 1 per second
+    Then at least a quarter of the attempts of rank 2 were admitted
+
+  Scenario: Attempts that wait at a target that begins to fail are given back for another
+    Given a target with 4 slots that takes 10 ms, whose attempts wait in an order, and faults are tracked
+    When 8 actions arrive at once, and the first ones fail
+    Then the waiting ones are refused with "suspect", and didn't start
+
+  Scenario: A reference of the pool sets how long an attempt may wait
+    Given a queue of a target with 2 slots whose pool takes 1000 ms
+    When 6 actions with deadlines of 2700 ms arrive while both slots are taken
+    Then 3 wait, and 3 are refused with "no_slot"
--- a/tests/front/agent_load.py
+++ b/tests/front/agent_load.py
@@ -27,12 +27,13 @@
 class LoadedAgent:
     """Sends attempts to an agent, and counts admissions and refusals by priority class."""
 
-    def __init__(self, *, slots, service_s, announced_slots=None, terms=None):
+    def __init__(self, *, slots, service_s, announced_slots=None, terms=None, policy=None):
         self.timers = VirtualTimerService()
         self.slots = slots
         self.announced_slots = announced_slots
         self.service_s = service_s
         self.terms = terms
+        self.policy = policy or ServicePolicy(slots=slots)
         self.admitted = Counter()
         self.refused = Counter()
         self.running = 0
@@ -46,9 +47,7 @@
             self.agent = make_agent(self.timers)
             async with anyio.create_task_group() as group:
                 group.start_soon(self.agent.run)
-                self.agent.inbox.post(
-                    UsePolicies(version=1, services={"s": ServicePolicy(slots=self.slots)})
-                )
+                self.agent.inbox.post(UsePolicies(version=1, services={"s": self.policy}))
                 await self.announce()
                 await main()
                 group.cancel_scope.cancel()
@@ -63,9 +62,9 @@
             lambda reply: AnnounceTarget(target="t", announcement=announcement, reply=reply),
         )
 
-    async def send(self, priority, *, service="s", remaining_ms=1_000):
+    async def send(self, priority, *, service="s", remaining_ms=1_000, **fields):
         """Send one attempt, run it if it is admitted, and return the agent's reply."""
-        request = make_attempt(priority, service=service, remaining_ms=remaining_ms)
+        request = make_attempt(priority, service=service, remaining_ms=remaining_ms, **fields)
         sent_at_s = self.timers.read_now_s()
         result = await ask(
             self.agent.inbox, lambda reply: AdmitAttempt(request=request, reply=reply)
@@ -79,14 +78,14 @@
         self.most_running = max(self.most_running, self.running)
         await anyio.sleep(self.service_s)
         self.running -= 1
-        await ask(self.agent.inbox, lambda reply: self.make_finish_message(reply))
+        await ask(self.agent.inbox, lambda reply: self.make_finish_message(request, reply))
         return result
 
-    def make_finish_message(self, reply):
+    def make_finish_message(self, request, reply):
         """Return the message that releases a slot."""
         return FinishAttempt(
             target="t",
-            attempt="a",
+            attempt=request.attempt,
             latency_s=self.service_s,
             outcome=None,
             terms=self.terms,
@@ -113,11 +112,11 @@
     )
 
 
-def make_attempt(priority, *, service, remaining_ms):
-    """Return an attempt for the only target."""
+def make_attempt(priority, *, service, remaining_ms, **fields):
+    """Return an attempt for the only target, with further fields of the message."""
     return AttemptRequest(
         request="r",
-        attempt="a",
+        attempt=fields.pop("attempt", "a"),
         target="t",
         service=service,
         document_version=1,
@@ -129,4 +128,5 @@
         priority=priority,
         idempotent=priority is not PriorityClass.ACTION,
         answer=ResponseCheck(),
+        **fields,
     )
