Permissions to use API keys that end: confirmed by rounds of the leader, checked where a request leaves

Cause: a front that is cut off, frozen or slow went on with the document that it had, so that a withdrawn key stayed in use there; a request that waited in a queue while its key was withdrawn ran. Change: a host uses keys until fleet.key_lease_ms after it asked whether its document is the newest, by CLOCK_BOOTTIME (new in the timer service). One host in 16 of a failure domain asks the leader, whose round of heartbeats serves all asks that came before it; the others ask that relay, whose reply tells its age. KeyKeeper owns document and lease; the front asks it early (key_lease_expired, 503), the agent when an attempt comes, and the upstream client right before the bytes are written (api_key_unknown, key_lease_expired: typed refusals, not run). The platform sets 0.95 of the bound `revoke`.

--- a/src/samphirespring/connection/upstream.py
+++ b/src/samphirespring/connection/upstream.py
@@ -17,8 +17,9 @@
 )
 from samphirespring.connection.upstream_pool import ConnectFailedError, UpstreamPool
 from samphirespring.request.body import BodySource
+from samphirespring.request.key_gate import KeyGate
 from samphirespring.request.messages import AttemptRequest, ResponseChunk, ResponseHead
-from samphirespring.request.states import FailureKind
+from samphirespring.request.states import FailureKind, RefusalCode
 
 KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,\s])timeout=([0-9]{1,6})(?:$|[,\s])", re.IGNORECASE)
 
@@ -37,16 +38,36 @@
         self.started = started
 
 
+class SendRefusedError(Exception):
+    """An attempt must not be sent; no byte of it was.
+
+    Args:
+        code: Reason of the refusal.
+    """
+
+    def __init__(self, code: RefusalCode) -> None:
+        super().__init__(code.value)
+        self.code = code
+
+
 class UpstreamClient:
     """Sends attempts to backend servers and reads their responses.
 
     Args:
         pool: Connections to the backend servers.
         dialect: Mapping of headers and refusals; None uses `SamphireDialect`.
+        keys: Checks each attempt right before it is sent, after all waiting; None checks nothing.
     """
 
-    def __init__(self, pool: UpstreamPool, dialect: BackendDialect | None = None) -> None:
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        dialect: BackendDialect | None = None,
+        *,
+        keys: KeyGate | None = None,
+    ) -> None:
         self._pool = pool
+        self._keys = keys
         self._dialect = dialect or SamphireDialect()
 
     def make_refusal_reader(self) -> RefusalReader:
@@ -75,6 +96,7 @@
 
         Raises:
             UpstreamError: No connection can be opened.
+            SendRefusedError: The attempt must not be sent.
         """
         try:
             async with self._pool.use(address) as connection:
@@ -130,8 +152,11 @@
         upload: BodyUpload | None,
     ) -> ParsedHead:
         """Send the request and return the head of the response."""
+        head = self._encode_head(request)
         try:
-            connection.write(self._encode_head(request), request.body)
+            # Nothing is awaited between this check and the write.
+            self._check_key(request)
+            connection.write(head, request.body)
             if upload is not None:
                 upload.begin()
             return await connection.read_head()
@@ -140,6 +165,11 @@
                 self._pool.record_stale(address, connection)
             raise
 
+    def _check_key(self, request: AttemptRequest) -> None:
+        code = None if self._keys is None else self._keys.check(request)
+        if code is not None:
+            raise SendRefusedError(code)
+
     def _limit_idle(self, address: str, head: ParsedHead) -> None:
         for name, value in head.headers:
             match = KEEP_ALIVE_TIMEOUT.search(value) if name == b"keep-alive" else None
--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -8,8 +8,11 @@
 from samphirespring.platform.units import parse_ms, parse_seconds
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
 
-KEY_LEASE_SHARE = 0.9
-"""Share of the time until a withdrawn key must not be used that permissions to use keys last."""
+KEY_LEASE_SHARE = 0.95
+"""Share of the time until a withdrawn key must not be used that permissions to use keys last.
+
+The rest is for clocks of different speed: a request whose key was checked was sent before that.
+"""
 
 FRONT_BUDGET_SHARE = 0.6
 """Share of the fleet's retry budget that the fronts may spend.
--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -52,6 +52,7 @@
 )
 from samphirespring.process.tasks import OwnerTask
 from samphirespring.process.timers import TimerService
+from samphirespring.request.key_gate import KeyGate
 from samphirespring.request.messages import AttemptRefused, AttemptRequest
 from samphirespring.request.states import RefusalCode
 
@@ -78,6 +79,7 @@
         metrics: Receives counters and gauges.
         departures: Keeps departures of targets over restarts of this process; None keeps them in
             memory only.
+        keys: Checks attempts that come, so that none waits in vain; None checks nothing.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         timers: TimerService,
         metrics: Metrics,
         departures: DepartureStore | None = None,
+        keys: KeyGate | None = None,
     ) -> None:
         self.inbox: Mailbox[AgentMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self.incarnation = Incarnation(timers.read_wall_ns())
@@ -97,6 +100,7 @@
         self._lease_s = lease_s
         self._timers = timers
         self._metrics = metrics
+        self._keys = keys
         self._condition_watch = ConditionWatch(metrics)
         self._policies = LocalPolicies()
         self._wait_tasks: TaskGroup
@@ -168,8 +172,10 @@
                 AttemptRefused(attempt=request.attempt, code=RefusalCode.UNKNOWN_TARGET)
             )
             return
-        code = self._check_refusal(target, request.remaining_ms) or self._check_suspicion(
-            target, request
+        code = (
+            self._check_refusal(target, request.remaining_ms)
+            or self._check_key(request)
+            or self._check_suspicion(target, request)
         )
         if code is None and target.running >= target.slots:
             code = self._enqueue(target, message)
@@ -189,6 +195,9 @@
             return RefusalCode.STALE_DOCUMENT
         return None
 
+    def _check_key(self, request: AttemptRequest) -> RefusalCode | None:
+        return None if self._keys is None else self._keys.check(request)
+
     def _check_suspicion(self, target: LocalTarget, request: AttemptRequest) -> RefusalCode | None:
         suspicion = target.suspicion
         if suspicion is None or suspicion.admits(request, now_s=self._timers.read_now_s()):
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -29,6 +29,7 @@
 from samphirespring.request.attempt_starter import AttemptHandle, AttemptStarter
 from samphirespring.request.body import BodySource
 from samphirespring.request.frame_sink import FrameSink
+from samphirespring.request.key_gate import KeyGate
 from samphirespring.request.messages import (
     AttemptFailed,
     AttemptRefused,
@@ -90,6 +91,7 @@
         timers: The timer service.
         upstream: Sends attempts; None uses a connection pool of the runner's own.
         dialect: Format of requests and responses at backend servers; None for the default one.
+        keys: Checks attempts right before they are sent; None checks nothing.
     """
 
     def __init__(
@@ -100,13 +102,14 @@
         timers: TimerService,
         upstream: UpstreamClient | None = None,
         dialect: BackendDialect | None = None,
+        keys: KeyGate | None = None,
     ) -> None:
         self.inbox: Mailbox[StartAttempt] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._agent = agent
         self._guard = guard
         self._timers = timers
         self._pool = UpstreamPool(timers)
-        self._upstream = upstream or UpstreamClient(self._pool, dialect)
+        self._upstream = upstream or UpstreamClient(self._pool, dialect, keys=keys)
         self._stalls = StallWatch(agent=agent, timers=timers)
         self._running = 0
 
--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -7,6 +7,7 @@
 
 from starlette.applications import Starlette
 
+from samphirespring.connection.confirmation_link import CONFIRM_DOCUMENT
 from samphirespring.connection.document_link import (
     FETCH_DELTA,
     REPORT_IN_FORCE,
@@ -25,6 +26,7 @@
 )
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
 from samphirespring.process.control_groups import ControlGroups
+from samphirespring.process.document.confirmer import DocumentConfirmer
 from samphirespring.process.document.initializer import DocumentInitializer
 from samphirespring.process.document.leader_contact import LeaderContactWatch
 from samphirespring.process.document.service import DocumentService
@@ -106,6 +108,11 @@
         self._documents = DocumentService(
             state_machine=document_machine, proposer=self._document_group, timers=timers
         )
+        self._document_confirmer = DocumentConfirmer(
+            documents=self._documents,
+            find_link=partial(_find_link, self._document_group),
+            timers=timers,
+        )
         self._ledger = LedgerService(
             self._groups,
             own_replica=settings.replica,
@@ -137,6 +144,7 @@
                 group=self._document_group, store=self._document_store, timers=timers
             ),
             self._registry,
+            self._document_confirmer,
             initializer,
             TlsReloader(contexts=tls_store.contexts, timers=timers, metrics=metrics),
             *self._groups.tasks,
@@ -179,6 +187,7 @@
             UnaryHandler(WATCH_DOCUMENT, self._document_store.watch),
             UnaryHandler(FETCH_DELTA, self._document_store.fetch),
             UnaryHandler(REPORT_IN_FORCE, self._document_store.record_report),
+            UnaryHandler(CONFIRM_DOCUMENT, self._document_confirmer.confirm),
             UnaryHandler(REPORT_HOSTS, self._registry.report),
             UnaryHandler(RECORD_DEPARTURE, self._registry.record_departure),
             UnaryHandler(READ_DEPARTURES, self._registry.read_departures),
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -10,6 +10,7 @@
 from samphirespring.connection.backend_dialect import BackendDialect, SamphireDialect
 from samphirespring.connection.caller_http import CallerApp
 from samphirespring.connection.channel_server import AttemptChannelServer
+from samphirespring.connection.confirmation_link import CONFIRM_DOCUMENT
 from samphirespring.connection.document_link import (
     FETCH_DELTA,
     REPORT_IN_FORCE,
@@ -52,6 +53,8 @@
 from samphirespring.process.document.sources import SourceChooser
 from samphirespring.process.document.store import DocumentStore
 from samphirespring.process.front import EndRequests, Front
+from samphirespring.process.keys.confirmers import ConfirmerChooser
+from samphirespring.process.keys.keeper import KeyKeeper
 from samphirespring.process.ledger.client import LedgerClient
 from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.logs.event_log import EventLog
@@ -169,6 +172,23 @@
         self._control_directory = control_directory = ControlDirectory(settings.control_links)
         control_client = ControlClient(self._link_pool, control_directory)
         link_address = settings.link_advertised or settings.link_listen
+        traffic_limiter = TrafficLimiter(timers=self._timers, generator=generator)
+        self._target_table = target_table = TargetTable(
+            NearestOfTwoSelector(generator),
+            locality=locality,
+            timers=self._timers,
+            generator=generator,
+            traffic_limiter=traffic_limiter.inbox,
+        )
+        self._key_keeper = key_keeper = KeyKeeper(
+            chooser=ConfirmerChooser(domain=locality.failure_domain, own_host=locality.host),
+            domain=locality.failure_domain,
+            control=ControlClient(self._link_pool, control_directory),
+            links=self._link_pool,
+            table=target_table.inbox,
+            timers=self._timers,
+            metrics=metrics,
+        )
         self._agent = Agent(
             locality=locality,
             link_address=link_address,
@@ -176,6 +196,7 @@
             timers=self._timers,
             metrics=metrics,
             departures=RegistryDepartures(host=locality.host, control=control_client),
+            keys=key_keeper,
         )
         self._action_guard = ActionGuard(incarnation=self._agent.incarnation, timers=self._timers)
         self._attempt_runner = AttemptRunner(
@@ -183,6 +204,7 @@
             guard=self._action_guard.inbox,
             timers=self._timers,
             dialect=self._adapter.make_dialect(),
+            keys=key_keeper,
         )
         target_prober = TargetProber(
             HttpHealthProbe(),
@@ -191,14 +213,6 @@
             metrics=metrics,
             generator=generator,
         )
-        traffic_limiter = TrafficLimiter(timers=self._timers, generator=generator)
-        self._target_table = target_table = TargetTable(
-            NearestOfTwoSelector(generator),
-            locality=locality,
-            timers=self._timers,
-            generator=generator,
-            traffic_limiter=traffic_limiter.inbox,
-        )
         self._attempt_channel_server = AttemptChannelServer(
             self._attempt_runner, table=target_table.inbox
         )
@@ -241,6 +255,7 @@
                 fencer=LinkAttemptFencer(self._link_pool),
             ),
             runner=action_runner,
+            keys=key_keeper,
         )
         self._document_store = DocumentStore(timers=self._timers)
         document_saver = DocumentSaver(
@@ -266,6 +281,7 @@
             wait_s=settings.document_wait_s,
             source_random=generator,
             control=control_client,
+            keys=key_keeper.inbox,
         )
         self._registry_client = RegistryClient(
             sender=TreeReportSender(
@@ -312,6 +328,7 @@
             self._attempt_runner,
             attempt_channels,
             self._action_guard,
+            key_keeper,
             target_prober,
             target_table,
             path_prober,
@@ -333,11 +350,15 @@
             agent=self._agent.inbox,
             tasks=self._tasks,
             readiness=NodeReadiness(
-                has_document=lambda: self._front.read_document() is not None,
+                has_document=self._has_usable_document,
                 has_table=lambda: self._registry_client.has_table,
             ),
         )
 
+    def _has_usable_document(self) -> bool:
+        """Return whether the node has had a document whose API keys it could rely on."""
+        return self._front.read_document() is not None and self._key_keeper.has_been_usable
+
     def use_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the seed addresses at which this node looks for control hosts."""
         self._control_directory.use_seeds(seeds)
@@ -403,6 +424,7 @@
             UnaryHandler(WATCH_DOCUMENT, self._document_store.watch),
             UnaryHandler(FETCH_DELTA, self._document_store.fetch),
             UnaryHandler(REPORT_IN_FORCE, self._document_store.record_report),
+            UnaryHandler(CONFIRM_DOCUMENT, self._key_keeper.confirm),
             UnaryHandler(REPORT_HOSTS, self._registry_client.relay),
             UnaryHandler(PRESENT_HOST, self._target_table.accept_presented),
             UnaryHandler(DRAIN, self._operations.set_drain),
--- a/src/samphirespring/process/document/follower.py
+++ b/src/samphirespring/process/document/follower.py
@@ -30,6 +30,7 @@
 from samphirespring.process.errors import SamphireError
 from samphirespring.process.front import FrontMessage, UseDocument
 from samphirespring.process.ids import FailureDomainName
+from samphirespring.process.keys.keeper import UseKeys
 from samphirespring.process.latest import HighestValue
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
@@ -94,6 +95,7 @@
         source_random: Jitters retries.
         control: Client of the control hosts, used if the sources don't deliver a hinted version;
             None ignores hints.
+        keys: Inbox of the key keeper; None on hosts that run no requests.
     """
 
     def __init__(
@@ -113,11 +115,13 @@
         wait_s: float,
         source_random: random.Random,
         control: ControlClient | None = None,
+        keys: Mailbox[UseKeys] | None = None,
     ) -> None:
         self.hints: HighestValue[VersionHint] = HighestValue()
         """Versions that exist according to control hosts and peers."""
 
         self._control_client = control
+        self._keys = keys
         self._apply_lock = anyio.Lock()
         self._store = store
         self._saver = saver
@@ -261,6 +265,9 @@
         # Peers can fetch the version while this node is still compiling it.
         self._store.newest.post(sections)
         compiled = await self._compiler.compile(sections)
+        if self._keys is not None:
+            # First, so that the host never refuses a key that its front already takes.
+            self._keys.post_always(UseKeys(compiled=compiled))
         self._front.post_always(UseDocument(compiled=compiled))
         self._agent.post_always(UsePolicies(version=compiled.version, services=compiled.services))
         self._sections = sections
--- a/src/samphirespring/process/document/relay_tree.py
+++ b/src/samphirespring/process/document/relay_tree.py
@@ -1,5 +1,6 @@
 """Tree of hosts that relay the document; every host computes the same tree from the registry."""
 
+import math
 from collections.abc import Collection, Sequence
 
 import msgspec
@@ -13,6 +14,9 @@
 LEVEL_FACTOR = 4
 """Ratio of the size of a level of the tree to the level above."""
 
+HOSTS_PER_CONFIRMING_RELAY = 16
+"""Hosts of a failure domain that one relay confirms the newest version of the document to."""
+
 SOURCES_PER_HOST = 2
 """Number of hosts of the level above that a host watches at the same time."""
 
@@ -63,6 +67,41 @@
     return ()
 
 
+class ConfirmingRelays(msgspec.Struct, frozen=True, kw_only=True):
+    """The hosts that confirm the newest version of the document to another host.
+
+    Attributes:
+        relays: The relay of the host, and another host in case that it fails.
+        own_host_is_relay: Whether the host itself is a relay, which asks the control hosts.
+    """
+
+    relays: tuple[Peer, ...]
+    own_host_is_relay: bool
+
+
+def choose_confirming_relays(
+    peers: Sequence[Peer], *, domain: FailureDomainName, own_host: HostId
+) -> ConfirmingRelays:
+    """Return the relays of a host; a confirmation passes one relay at most.
+
+    The first hosts in the order of the tree are relays, one for `HOSTS_PER_CONFIRMING_RELAY` hosts.
+
+    Args:
+        peers: Hosts of the failure domain as the registry has them.
+        domain: The failure domain.
+        own_host: The host to choose for.
+    """
+    ordered = sorted(peers, key=lambda peer: _rank(domain, peer.host))
+    count = math.ceil(len(ordered) / HOSTS_PER_CONFIRMING_RELAY)
+    position = next((i for i, peer in enumerate(ordered) if peer.host == own_host), len(ordered))
+    first = position % count if count else 0
+    relays = ordered[first : first + 2]
+    return ConfirmingRelays(
+        relays=tuple(peer for peer in relays if peer.host != own_host),
+        own_host_is_relay=position < count,
+    )
+
+
 def _rank(domain: FailureDomainName, host: HostId) -> tuple[int, HostId]:
     return (xxhash.xxh64_intdigest(f"{domain}/{host}".encode()), host)
 
--- a/src/samphirespring/process/document/service.py
+++ b/src/samphirespring/process/document/service.py
@@ -108,6 +108,17 @@
         """Return the version that this replica has applied."""
         return await self._proposer.read(lambda: self._state_machine.sections.stamp)
 
+    async def confirm_stamp(self) -> DocumentStamp:
+        """Return the newest committed version, as of a time after the call.
+
+        Raises:
+            NotLeaderError: Another replica leads, or none.
+            NoQuorumError: No quorum can be reached.
+        """
+        # A lease would not show that this host was suspended, as its clock stood still.
+        await self._proposer.confirm_leadership(by_heartbeat_round=True)
+        return await self.read_stamp()
+
     async def read_ledger_layout(self) -> LedgerLayout | None:
         """Return the ledger's layout, or None if this replica has applied no document yet."""
         return await self._proposer.read(lambda: self._state_machine.ledger_layout)
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -25,6 +25,7 @@
     REQUEST_TIMEOUT = "request_timeout"
     NO_ROUTE = "no_route"
     API_KEY_UNKNOWN = "api_key_unknown"
+    KEY_LEASE_EXPIRED = "key_lease_expired"
     NO_DOCUMENT = "no_document"
     NO_TARGET = "no_target"
     DEADLINE_EXPIRED = "deadline_expired"
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -24,6 +24,7 @@
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.earlier_requests import account_for_earlier_requests
 from samphirespring.request.errors import (
+    KeyLeaseExpiredError,
     NodeStoppingError,
     NoDocumentError,
     NoRouteError,
@@ -32,6 +33,7 @@
     RequestTimeoutError,
 )
 from samphirespring.request.exchange import Exchange
+from samphirespring.request.key_gate import KeyGate
 from samphirespring.request.limits import find_limits
 from samphirespring.request.split import SplitSequence
 from samphirespring.request.states import Outcome
@@ -39,6 +41,8 @@
 from samphirespring.version.routes import CompiledDocument, Route
 
 INBOX_CAPACITY = 1_000
+KEY_LEASE_RETRY_AFTER_S = 1
+"""Delay that callers are told while this node may not use API keys, in seconds."""
 
 
 class UseDocument(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,15 +85,22 @@
         context: Dependencies shared by all exchanges.
         actions: Dependencies shared by all actions.
         runner: Runs actions.
+        keys: Tells whether the document may be relied on for API keys; None always relies on it.
     """
 
     def __init__(
-        self, context: ExchangeContext, *, actions: ActionContext, runner: ActionRunner
+        self,
+        context: ExchangeContext,
+        *,
+        actions: ActionContext,
+        runner: ActionRunner,
+        keys: KeyGate | None = None,
     ) -> None:
         self.inbox: Mailbox[FrontMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._context = context
         self._actions = actions
         self._runner = runner
+        self._keys = keys
         self._compiled: CompiledDocument | None = None
         self._request_log = RequestLog(context.timers)
         self._splits = SplitSequence(context.generator)
@@ -149,6 +160,7 @@
         with self._count_in_flight():
             with account_for_earlier_requests(keyed=keyed and not route.policy.idempotent):
                 request = authenticate(request, route=route, compiled=compiled)
+                self._check_key_lease(request)
             with account_for_earlier_requests(keyed=keyed and not route.policy.idempotent):
                 await self._check_limits(request, route, compiled)
             if not route.policy.idempotent:
@@ -230,6 +242,18 @@
         await self._context.timers.wait_until(at_s)
         self._requests.end_all()
 
+    def _check_key_lease(self, request: CallerRequest) -> None:
+        """Refuse a request with a key early if no host of this kind may run it.
+
+        The agent checks again when the request leaves for its target.
+        """
+        if request.api_key is None or self._keys is None or self._keys.may_use_keys():
+            return
+        raise KeyLeaseExpiredError(
+            "this node has had no contact with control hosts for too long to accept API keys",
+            retry_after_s=KEY_LEASE_RETRY_AFTER_S,
+        )
+
     async def _check_limits(
         self, request: CallerRequest, route: Route, compiled: CompiledDocument
     ) -> None:
--- /dev/null
+++ b/src/samphirespring/process/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Permissions of a host to run requests with API keys."""
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -86,6 +86,9 @@
     LEDGER_LEADER_ELSEWHERE = "ledger_not_led_here"
 
     # Document and operators.
+    KEY_LEASE_GAINED = "key_lease_gained"
+    KEY_LEASE_LOST = "key_lease_lost"
+    CONFIRMATION_FAILED = "confirmation_failed"
     LEADER_CONTACT_UNKNOWN = "leader_contact_unknown"
     DOCUMENT_IN_FORCE = "document_in_force"
     DOCUMENT_SOURCE_FAILED = "document_source_failed"
--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -68,6 +68,7 @@
     DOCUMENT_SOURCES_FAILED = "document.sources_failed"
     DOCUMENT_SAVE_FAILED = "document.save_failed"
     DOCUMENT_FILE_INVALID = "document.file_invalid"
+    KEY_REFUSALS = "keys.refusals.REASON"
     TLS_RELOADED = "tls.reloaded"
     TLS_RELOAD_FAILED = "tls.reload_failed"
 
@@ -81,6 +82,7 @@
     LEDGER_CLAIMS = "ledger.claims.GROUP.STATE"
     REGISTRY_HELD = "registry.held"
     DOCUMENT_VERSION = "document.version"
+    KEY_LEASE_REMAINING = "keys.lease_remaining"
 
 
 class Timing(Enum):
--- a/src/samphirespring/process/timers.py
+++ b/src/samphirespring/process/timers.py
@@ -28,6 +28,10 @@
     def read_now_s(self) -> float:
         """Return monotonic time in seconds."""
 
+    @abstractmethod
+    def read_boot_s(self) -> float:
+        """Return the time since the boot of the host in seconds, including times of suspension."""
+
     @abstractmethod
     def read_wall_ns(self) -> int:
         """Return wall time in nanoseconds since the Unix epoch."""
@@ -99,6 +103,10 @@
         """Return monotonic time in seconds."""
         return time.monotonic()
 
+    def read_boot_s(self) -> float:
+        """Return the time since the boot of the host in seconds, including times of suspension."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def read_wall_ns(self) -> int:
         """Return wall time in nanoseconds since the Unix epoch."""
         return time.time_ns()
@@ -126,12 +134,17 @@
         self._start_s = start_s
         self._start_wall_ns = start_wall_ns
         self._now_s = start_s
+        self._suspended_s = 0.0
         self._waiters: list[_Waiter] = []
 
     def read_now_s(self) -> float:
         """Return the manual time in seconds."""
         return self._now_s
 
+    def read_boot_s(self) -> float:
+        """Return the manual time with all times of suspension, in seconds."""
+        return self._now_s + self._suspended_s
+
     def read_wall_ns(self) -> int:
         """Return the manual wall time in nanoseconds."""
         return self._start_wall_ns + round((self._now_s - self._start_s) * 1e9)
@@ -164,6 +177,14 @@
             if waiter.due_at_s <= self._now_s:
                 waiter.wake()
 
+    def suspend(self, duration_s: float) -> None:
+        """Suspend the host: monotonic time stands still meanwhile, so no waiter is woken.
+
+        Args:
+            duration_s: Duration of the suspension, in seconds.
+        """
+        self._suspended_s += duration_s
+
     @contextmanager
     def _register(self, due_at_s: float, wake: Callable[[], None]) -> Iterator[None]:
         waiter = _Waiter(due_at_s=due_at_s, wake=wake)
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -27,7 +27,14 @@
 from samphirespring.version.document import RoutePolicy
 from samphirespring.version.ids import DocumentVersion
 
-CAPACITY_REFUSALS = frozenset({RefusalCode.NO_SLOT, RefusalCode.SHEDDING, RefusalCode.RATE_LIMITED})
+CAPACITY_REFUSALS = frozenset(
+    {
+        RefusalCode.NO_SLOT,
+        RefusalCode.SHEDDING,
+        RefusalCode.RATE_LIMITED,
+        RefusalCode.KEY_LEASE_EXPIRED,
+    }
+)
 """Refusals after which the target temporarily counts as full."""
 
 
--- a/src/samphirespring/request/attempt_errors.py
+++ b/src/samphirespring/request/attempt_errors.py
@@ -3,6 +3,7 @@
 import math
 
 from samphirespring.request.errors import (
+    ApiKeyUnknownError,
     AttemptFailedError,
     DeadlineExpiredError,
     OutcomeUnknownError,
@@ -38,6 +39,8 @@
 
 
 def _make_refusal_error(result: AttemptRefused) -> RequestError:
+    if result.code is RefusalCode.API_KEY_UNKNOWN:
+        return ApiKeyUnknownError("no workspace holds the API key any more")
     if result.code is RefusalCode.EXPIRED:
         return DeadlineExpiredError("the deadline passed before the attempt could start")
     retry_after_s = DEFAULT_RETRY_AFTER_S
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from samphirespring.connection.refusals import TypedRefusal
-from samphirespring.connection.upstream import UpstreamClient, UpstreamError
+from samphirespring.connection.upstream import SendRefusedError, UpstreamClient, UpstreamError
 from samphirespring.process.action_guard import EndAction
 from samphirespring.process.agent.admission_queue import Admission
 from samphirespring.process.detection.classification import ResponseInspector, classify_failure
@@ -27,7 +27,7 @@
     ResponseEnd,
     ResponseHead,
 )
-from samphirespring.request.states import FailureKind
+from samphirespring.request.states import FailureKind, RefusalCode
 
 _log = EventLog()
 
@@ -68,11 +68,13 @@
         self.complete = False
         self._observed_outcome: ObservedOutcome | None = None
         self._typed_refusal: TypedRefusal | None = None
+        self._send_refusal: RefusalCode | None = None
+        """Why the attempt wasn't sent to the backend server."""
 
     @property
     def ended(self) -> bool:
-        """Whether the response is complete or the attempt failed."""
-        return self.complete or self.failure is not None
+        """Whether the response is complete, or the attempt failed or wasn't sent."""
+        return self.complete or self.failure is not None or self._send_refusal is not None
 
     async def run(self, batcher: FrameBatcher, body: BodySource | None) -> None:
         """Send the request and forward the response.
@@ -98,6 +100,8 @@
                         self.body_length += len(frame.data)
                     await self._forward_frame(batcher, frame)
             self.complete = True
+        except SendRefusedError as refusal:
+            self._send_refusal = refusal.code
         except UpstreamError as error:
             self.fail(error.kind, started=error.started)
         except Exception:
@@ -111,7 +115,7 @@
         Args:
             response_sent: Whether part of the response was already sent to the front.
         """
-        if self.failure is not None:
+        if self.failure is not None or self._send_refusal is not None:
             return
         self._observed_outcome = self._inspector.classify()
         if response_sent:
@@ -128,6 +132,8 @@
         Args:
             latency_s: The target's latency, in seconds.
         """
+        if self._send_refusal is not None:
+            return None
         if self._typed_refusal is not None:
             return ObservedOutcome.SHED
         if self.failure is None:
@@ -180,6 +186,8 @@
         attempt = self._request.attempt
         if self.failure is not None:
             return msgspec.structs.replace(self.failure, load=load)
+        if self._send_refusal is not None:
+            return AttemptRefused(attempt=attempt, code=self._send_refusal, load=load)
         refusal = self._typed_refusal
         if refusal is not None:
             return AttemptRefused(
--- a/src/samphirespring/request/errors.py
+++ b/src/samphirespring/request/errors.py
@@ -63,6 +63,13 @@
     status = 401
 
 
+class KeyLeaseExpiredError(RequestError):
+    """This node can't tell whether the request's API key is still valid."""
+
+    code = ErrorCode.KEY_LEASE_EXPIRED
+    status = 503
+
+
 class NoDocumentError(RequestError):
     """This node has not received a document yet."""
 
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -50,7 +50,12 @@
 """Counters of attempts that started in parallel with others."""
 
 UNBUDGETED_REFUSALS = frozenset(
-    {RefusalCode.SUSPECT, RefusalCode.UNKNOWN_TARGET, RefusalCode.DRAINING}
+    {
+        RefusalCode.SUSPECT,
+        RefusalCode.UNKNOWN_TARGET,
+        RefusalCode.DRAINING,
+        RefusalCode.KEY_LEASE_EXPIRED,
+    }
 )
 """Refusals by an agent after which another attempt doesn't use the retry budget."""
 
--- a/src/samphirespring/request/retry.py
+++ b/src/samphirespring/request/retry.py
@@ -81,11 +81,16 @@
         RefusalCode.EJECTED,
         RefusalCode.SUSPECT,
         RefusalCode.FENCED,
+        RefusalCode.KEY_LEASE_EXPIRED,
     }
 )
 """Refusals specific to one target: another target may accept the request immediately."""
 
 
+FINAL_REFUSALS = frozenset({RefusalCode.EXPIRED, RefusalCode.API_KEY_UNKNOWN})
+"""Refusals that any other target would repeat."""
+
+
 class RetryPlanner:
     """Plans the retries of one request: counts attempts and charges waits to their budgets.
 
@@ -167,7 +172,7 @@
             # If no backend server was reached, another target may accept the request immediately.
             delay_s = self._draw_backoff_s(self._failed_count) if result.started else 0.0
             return RetryStep(decision=RetryDecision.RETRY, delay_s=delay_s)
-        if result.code is RefusalCode.EXPIRED:
+        if result.code in FINAL_REFUSALS:
             return GIVE_UP
         if result.code is RefusalCode.RATE_LIMITED:
             return self._plan_hinted(WaitKind.RATE_LIMIT, _read_hint_s(result))
--- a/src/samphirespring/request/states.py
+++ b/src/samphirespring/request/states.py
@@ -26,6 +26,12 @@
     """Another target is more likely to serve the request."""
 
     FENCED = "fenced"
+    API_KEY_UNKNOWN = "api_key_unknown"
+    """The agent's document, which is as new as the front's, has another holder of the key or none.
+    """
+
+    KEY_LEASE_EXPIRED = "key_lease_expired"
+    """The agent's host can't tell whether the API key is still valid."""
 
 
 class FailureKind(Enum):
--- a/tests/front/virtual_time.py
+++ b/tests/front/virtual_time.py
@@ -35,5 +35,8 @@
     def read_now_s(self):
         return asyncio.get_running_loop().time()
 
+    def read_boot_s(self):
+        return self.read_now_s()
+
     def read_wall_ns(self):
         return round(self.read_now_s() * 1e9)
