--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -9,8 +9,11 @@
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
 from samphirespring.version.states import AdmissionMode
 
-KEY_LEASE_SHARE = 0.9
-"""Share of the time until a withdrawn key must not be used that permissions to use keys last."""
+KEY_LEASE_SHARE = 0.95
+"""Share of the time until a withdrawn key must not be used that permissions to use keys last.
+
+The rest is for clocks of different speed: a request whose key was checked was sent before that.
+"""
 
 PRESSURE_CONTRACT = "pressure"
 """Contract of deployments whose callers ask for more than the targets have room for, at times."""
