Stand-in backend servers announce once they listen; count received responses once

Change: a target is announced once its server has started; the reader counts each response once. The checks and the time limit stay.

--- a/tests/features/steps/pipelining_steps.py
+++ b/tests/features/steps/pipelining_steps.py
@@ -9,6 +9,7 @@
 
 ADDRESS = "127.0.0.1:26421"
 PORT = 26421
+STATUS_LINE = b"HTTP/1.1 200 OK"
 TIMEOUT_S = 15.0
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -138,8 +139,12 @@
         received = bytearray()
 
         async def receive():
-            while received.count(b"HTTP/1.1 200 OK") < count:
+            seen, counted = 0, 0
+            while seen < count:
                 received.extend(await stream.receive())
+                # A status line may arrive in two parts.
+                seen += received.count(STATUS_LINE, counted)
+                counted = max(counted, received.rfind(STATUS_LINE) + 1)
 
         async with anyio.create_task_group() as group:
             group.start_soon(stream.send, b"".join(REQUEST % number for number in range(count)))
--- a/tests/fleet/backend.py
+++ b/tests/fleet/backend.py
@@ -13,6 +13,7 @@
 import msgspec
 import uvicorn
 
+LISTEN_POLL_S = 0.01
 RENEW_INTERVAL_S = 1.0
 KEEPALIVE_S = 75
 
@@ -239,6 +240,7 @@
 
 
 async def _serve_target(target):
+    """Serve a target, and announce it once it listens."""
     host, _, port = target.spec.address.rpartition(":")
     config = uvicorn.Config(
         target,
@@ -249,7 +251,16 @@
         access_log=False,
         timeout_keep_alive=KEEPALIVE_S,
     )
-    await _Server(config).serve()
+    server = _Server(config)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_announce_when_listening, target, server)
+        await server.serve()
+
+
+async def _announce_when_listening(target, server):
+    while not server.started:
+        await anyio.sleep(LISTEN_POLL_S)
+    await target.announce()
 
 
 async def _main(specs, run_log):
@@ -257,7 +268,6 @@
         for spec in specs:
             target = BackendTarget(spec=spec, run_log=run_log)
             tasks.start_soon(_serve_target, target)
-            tasks.start_soon(target.announce)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 tasks.cancel_scope.cancel()
