Placement by work: learned costs, speeds of targets and what they have left to do

Cause: selection counted free slots alone. Requests of one service cost very different amounts of work, and targets differ in speed, so that a free slot of a slow target counted as much as one of a fast one. Change: a table learns the work of each kind of request (route, method, class of the body's length) from the times that agents report, each divided by the pace of its target; an agent tracks the work that is left in its slots and queue and the pace of its targets, and reports both with each load (`TargetLoad.work`). `RiskSelector` adds the expected time, in relation to the route's aim, and a share of used slots that grows with its square. `services.*.placement` switches it on; the adapter does so for services with several routes of which one leaves less than 2.5 aims. Costs are in the dump (`target_table.costs`), expected times in metrics and attempts' logs.

--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -22,7 +22,7 @@
 from samphirespring.connection.channel_body import ChannelBody
 from samphirespring.connection.credit import Credit
 from samphirespring.connection.link_errors import LinkUnavailableError
-from samphirespring.process.ids import HostId, TargetId
+from samphirespring.process.ids import HostId, TargetId, WorkKind
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ForwardingSlot, InboxFullError, Mailbox, ReplySlot
@@ -62,6 +62,18 @@
     handle: AttemptHandle
 
 
+class _UsedTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """A target that was selected for the front.
+
+    Attributes:
+        target: The target.
+        kind: Kind of the request; None if it isn't known.
+    """
+
+    target: TargetId
+    kind: WorkKind | None
+
+
 class AttemptChannelServer:
     """Serves the channels of all fronts.
 
@@ -128,7 +140,7 @@
         self.host: HostId | None = None
         """Host of the front; None before it asks for a target."""
 
-        self._selected: dict[ChannelNumber, TargetId] = {}
+        self._selected: dict[ChannelNumber, _UsedTarget] = {}
         """Targets that the front uses."""
 
         self._asked: dict[ChannelNumber, ReplySlot[Candidate | None]] = {}
@@ -152,8 +164,8 @@
                 _end(attempt)
             for slot in self._asked.values():
                 slot.abandoned = True
-            for target in self._selected.values():
-                self._table.post_always(ReleaseTarget(target=target))
+            for used in self._selected.values():
+                self._table.post_always(ReleaseTarget(target=used.target))
 
     def end(self) -> None:
         """End the channel, as if its front had closed it."""
@@ -194,7 +206,7 @@
             self.host = message.locality.host
             self._on_ask(self, self.host)
         slot = ForwardingSlot[Candidate | None](
-            lambda candidate: self._send_selected(message.number, candidate)
+            lambda candidate: self._send_selected(message, candidate)
         )
         request = SelectTarget(
             terms=message.terms, locality=message.locality, is_shared=True, reply=slot
@@ -207,11 +219,12 @@
             return
         self._asked[message.number] = slot
 
-    def _send_selected(self, number: ChannelNumber, candidate: Candidate | None) -> None:
-        del self._asked[number]
+    def _send_selected(self, message: AskTarget, candidate: Candidate | None) -> None:
+        del self._asked[message.number]
         if candidate is not None:
-            self._selected[number] = candidate.target
-        self._post(TargetSelected(number=number, candidate=candidate))
+            used = _UsedTarget(target=candidate.target, kind=message.terms.kind)
+            self._selected[message.number] = used
+        self._post(TargetSelected(number=message.number, candidate=candidate))
 
     def _end_selection(self, message: EndSelection) -> None:
         slot = self._asked.get(message.number)
@@ -219,12 +232,13 @@
             # The table then selects no target, so that none stays counted as used.
             slot.abandoned = True
             return
-        target = self._selected.pop(message.number, None)
-        if target is None:
+        used = self._selected.pop(message.number, None)
+        if used is None:
             return
         if message.load is not None:
-            self._table.post_always(UpdateLoad(target=target, load=message.load))
-        self._table.post_always(ReleaseTarget(target=target))
+            update = UpdateLoad(target=used.target, load=message.load, kind=used.kind)
+            self._table.post_always(update)
+        self._table.post_always(ReleaseTarget(target=used.target))
 
     def _open(self, message: OpenAttempt) -> None:
         number = message.number
--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -20,7 +20,8 @@
 )
 from samphirespring.version.ids import Revision, SectionName, ServiceName
 from samphirespring.version.parser import DocumentInvalidError
-from samphirespring.version.states import DetectionMode, PriorityClass
+from samphirespring.version.placement import choose_placements
+from samphirespring.version.states import DetectionMode, PlacementMode, PriorityClass
 
 OPERATOR_SECTION = SectionName("operator")
 """Section that holds the operator's routes and services."""
@@ -152,6 +153,13 @@
                 )
             case _:
                 raise ValueError(f"unknown resource type `{resource.type}`")
+    placements = choose_placements(routes)
+    services = {
+        service: msgspec.structs.replace(
+            policy, placement=placements.get(service, PlacementMode.SLOTS)
+        )
+        for service, policy in services.items()
+    }
     fleet = FleetSection(caller_connections=connections, ledger_groups=0)
     team = TeamSection(services=services, routes=tuple(routes))
     return {FLEET_SECTION: _encode(fleet), OPERATOR_SECTION: _encode(team)}
--- a/src/samphirespring/process/agent/admission_queue.py
+++ b/src/samphirespring/process/agent/admission_queue.py
@@ -74,6 +74,11 @@
     def __len__(self) -> int:
         return len(self._urgent) + len(self._helpers)
 
+    @property
+    def waiting_work_s(self) -> float:
+        """Expected work of the waiting attempts, in seconds of a target of usual speed."""
+        return sum(w.request.work_s or 0.0 for w in (*self._urgent, *self._helpers))
+
     def offer(self, waiter: Waiter, *, capacity: int) -> RefusalCode | None:
         """Enqueue an attempt, or return why it is refused.
 
--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -35,6 +35,7 @@
 from samphirespring.process.agent.operator_drain import OperatorDrain
 from samphirespring.process.detection.observations import Observation
 from samphirespring.process.detection.probe_schedule import ProbePlan
+from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.detection.target_health import TRIAL_WEIGHT
 from samphirespring.process.errors import InternalError
 from samphirespring.process.ids import Incarnation, TargetId
@@ -218,7 +219,7 @@
         self._policies.apply(message)
         for target in self._targets:
             target.slots = self._policies.find_slots(target.announcement)
-            self._targets.update_fault_model(target, now_s=self._timers.read_now_s())
+            self._targets.update_policy(target, now_s=self._timers.read_now_s())
             self._admit_waiting(target)
 
     def _admit_waiting(self, target: LocalTarget) -> None:
@@ -229,7 +230,7 @@
             waiter.reply.send(self._start(target, waiter.request))
 
     def _start(self, target: LocalTarget, request: AttemptRequest) -> Admission:
-        return target.start(request.attempt, now_s=self._timers.read_now_s())
+        return target.start(request.attempt, work_s=request.work_s, now_s=self._timers.read_now_s())
 
     def _refuse_waiting(self) -> None:
         for target in self._targets:
@@ -240,10 +241,11 @@
         target = self._targets.find(message.target)
         if target is None:
             raise InternalError(f"target {message.target} was dropped with an attempt in flight")
-        target.running -= 1
         self._observe(target, message)
+        run_s = message.latency_s if message.outcome is ObservedOutcome.OK else None
+        target.end(message.attempt, run_s=run_s)
         self._admit_waiting(target)
-        load = self._read_load(target)
+        load = self._read_load(target, run_s=run_s)
         self._targets.drop_if_finished(target)
         return load
 
@@ -373,8 +375,8 @@
                 if target.lease_expires_at_s <= tick.now_s:
                     self._targets.retire(target)
 
-    def _read_load(self, target: LocalTarget) -> TargetLoad:
-        load = target.read_load(self._timers.read_now_s())
+    def _read_load(self, target: LocalTarget, *, run_s: float | None = None) -> TargetLoad:
+        load = target.read_load(self._timers.read_now_s(), run_s=run_s)
         if self._is_draining(target):
             return msgspec.structs.replace(load, phase=TargetPhase.DRAINING)
         return load
--- a/src/samphirespring/process/agent/announced_targets.py
+++ b/src/samphirespring/process/agent/announced_targets.py
@@ -133,8 +133,8 @@
         if target.withdrawn and target.running == 0:
             del self._targets[target.target]
 
-    def update_fault_model(self, target: LocalTarget, *, now_s: float) -> None:
-        """Apply the fault model of a target's service.
+    def update_policy(self, target: LocalTarget, *, now_s: float) -> None:
+        """Apply the policy of a target's service.
 
         Args:
             target: The target.
@@ -142,6 +142,8 @@
         """
         model = self._policies.find_fault_model(target.announcement.service)
         target.use_fault_model(model, now_s=now_s)
+        places_by_work = self._policies.places_by_work(target.announcement.service)
+        target.track_work(enabled=places_by_work)
 
     def _is_latest(self, target: LocalTarget) -> bool:
         return self._order.is_latest(target.target, target.announcement)
@@ -168,7 +170,7 @@
         )
         target.begin_slow_start(announcement, now_s)
         self._targets[target_id] = target
-        self.update_fault_model(target, now_s=now_s)
+        self.update_policy(target, now_s=now_s)
 
     def _has_later_start(self, announcement: Announcement) -> bool:
         """Return whether a backend server that started later has announced itself at the address.
--- a/src/samphirespring/process/agent/local_policies.py
+++ b/src/samphirespring/process/agent/local_policies.py
@@ -7,6 +7,7 @@
 from samphirespring.process.detection.models import make_fault_model
 from samphirespring.version.document import DetectionPolicy, ServicePolicy
 from samphirespring.version.ids import DocumentVersion, ServiceName
+from samphirespring.version.states import PlacementMode
 
 DEFAULT_POLICY = ServicePolicy()
 
@@ -57,6 +58,15 @@
         """
         return make_fault_model(self._services.get(service, DEFAULT_POLICY))
 
+    def places_by_work(self, service: ServiceName) -> bool:
+        """Return whether fronts weigh the work that the targets of a service still have to do.
+
+        Args:
+            service: The service.
+        """
+        policy = self._services.get(service, DEFAULT_POLICY)
+        return policy.placement is PlacementMode.WORK
+
     def find_detection(self, service: ServiceName) -> DetectionPolicy:
         """Return the policy by which a service's targets are evaluated and probed.
 
--- a/src/samphirespring/process/agent/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -11,7 +11,8 @@
 from samphirespring.process.ids import TargetId
 from samphirespring.process.states import TargetPhase
 from samphirespring.process.suspicion import Suspicion
-from samphirespring.process.targets import TargetLoad
+from samphirespring.process.targets import TargetLoad, TargetWork
+from samphirespring.process.work.remaining_work import RemainingWork
 from samphirespring.request.ids import AttemptId
 from samphirespring.request.states import RefusalCode
 
@@ -29,6 +30,7 @@
         withdrawn: Whether it was withdrawn; it is dropped once no attempt is in flight.
         evaluator: Derives the target's condition from the outcomes of attempts and probes.
         suspicion: Tracks short faults, if the service's policy enables it.
+        work: Tracks the work that is left, if the service's requests are placed by work.
     """
 
     target: TargetId
@@ -37,6 +39,7 @@
     lease_expires_at_s: float
     evaluator: TargetEvaluator
     suspicion: Suspicion | None = None
+    work: RemainingWork | None = None
     running: int = 0
     queue: AdmissionQueue = msgspec.field(default_factory=AdmissionQueue)
     withdrawn: bool = False
@@ -92,23 +95,50 @@
         self.withdrawn = True
         self.queue.refuse_all(RefusalCode.DRAINING)
 
-    def start(self, attempt: AttemptId, *, now_s: float) -> Admission:
+    def track_work(self, *, enabled: bool) -> None:
+        """Set whether fronts weigh the work that the target still has to do.
+
+        Args:
+            enabled: Whether they do.
+        """
+        if not enabled:
+            self.work = None
+        elif self.work is None:
+            self.work = RemainingWork()
+
+    def start(self, attempt: AttemptId, *, work_s: float | None, now_s: float) -> Admission:
         """Acquire a slot for one attempt.
 
         Args:
             attempt: The attempt.
+            work_s: Its expected work, in seconds; None if its front expects nothing.
             now_s: Monotonic time, in seconds.
         """
         self.running += 1
+        if self.work is not None:
+            self.work.begin(attempt, work_s=work_s, now_s=now_s)
         if self.suspicion is not None:
             self.suspicion.begin(attempt, now_s=now_s)
         return Admission(address=self.announcement.address)
 
-    def read_load(self, now_s: float) -> TargetLoad:
+    def end(self, attempt: AttemptId, *, run_s: float | None) -> None:
+        """Release the slot of an attempt.
+
+        Args:
+            attempt: The attempt.
+            run_s: Time that it took, in seconds; None if that says nothing about its cost.
+        """
+        self.running -= 1
+        if self.work is not None:
+            self.work.end(attempt, run_s=run_s)
+
+    def read_load(self, now_s: float, *, run_s: float | None = None) -> TargetLoad:
         """Return the load that is reported to fronts.
 
         Args:
             now_s: Monotonic time, in seconds.
+            run_s: Time that the attempt that carries the report took, in seconds; None if that says
+                nothing about its cost.
         """
         return TargetLoad(
             phase=self.announcement.phase,
@@ -119,8 +149,14 @@
             weight=round(self.evaluator.health.read_weight(now_s), 3),
             risk=None if self.suspicion is None else round(self.suspicion.read(now_s), 4),
             summary=self.evaluator.health.summarize(now_s),
+            work=self._read_work(now_s, run_s),
         )
 
+    def _read_work(self, now_s: float, run_s: float | None) -> TargetWork | None:
+        if self.work is None:
+            return None
+        return self.work.read(now_s, waiting_s=self.queue.waiting_work_s, run_s=run_s)
+
     def make_dump(self, now_s: float) -> LocalTargetDump:
         """Return the state for an operator.
 
--- a/src/samphirespring/process/ids.py
+++ b/src/samphirespring/process/ids.py
@@ -8,6 +8,9 @@
 TargetId = NewType("TargetId", str)
 """One address of one backend server on a host, unique in the fleet."""
 
+WorkKind = NewType("WorkKind", str)
+"""Requests that are expected to cost a service about the same work."""
+
 Incarnation = NewType("Incarnation", int)
 """Start of an agent process, in nanoseconds of wall time; a later start has a higher number."""
 
--- a/src/samphirespring/process/local_targets.py
+++ b/src/samphirespring/process/local_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from samphirespring.process.ids import WorkKind
 from samphirespring.process.mailbox import Mailbox, ReplySlot
 from samphirespring.process.target_table_messages import (
     ReleaseTarget,
@@ -21,11 +22,15 @@
     Args:
         candidate: The target.
         table: Inbox of the table.
+        kind: Kind of the request; None if it isn't known.
     """
 
-    def __init__(self, candidate: Candidate, table: Mailbox[TableMessage]) -> None:
+    def __init__(
+        self, candidate: Candidate, table: Mailbox[TableMessage], *, kind: WorkKind | None = None
+    ) -> None:
         self._candidate = candidate
         self._table = table
+        self._kind = kind
 
     @property
     def candidate(self) -> Candidate:
@@ -34,7 +39,9 @@
 
     def report_load(self, load: TargetLoad) -> None:
         """Pass on the target's load to the table."""
-        self._table.post_always(UpdateLoad(target=self._candidate.target, load=load))
+        self._table.post_always(
+            UpdateLoad(target=self._candidate.target, load=load, kind=self._kind)
+        )
 
 
 class LocalTargetSource(TargetSource):
@@ -61,7 +68,10 @@
         self._table.post(SelectTarget(terms=terms, is_shared=is_shared, reply=slot))
         try:
             candidate = await slot.wait()
-            yield None if candidate is None else LocalSelection(candidate, self._table)
+            if candidate is None:
+                yield None
+            else:
+                yield LocalSelection(candidate, self._table, kind=terms.kind)
         finally:
             slot.abandoned = True
             selected = slot.read()
--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -87,6 +87,8 @@
     """Durations."""
 
     FRONT_REQUEST_DURATION = "front.request_duration"
+    FRONT_EXPECTED_WAIT = "front.expected_wait"
+    FRONT_EXPECTED_RUN = "front.expected_run"
     AGENT_DETECTION_TIME = "agent.detection_time"
     AGENT_PROBE_DURATION = "agent.probe_duration"
     REPLICATION_WRITE = "replication.write"
--- a/src/samphirespring/process/paging.py
+++ b/src/samphirespring/process/paging.py
@@ -27,6 +27,7 @@
     HELD = "held"
     PENDING = "pending"
     PROBING = "probing"
+    COSTS = "costs"
     BUCKETS = "buckets"
     RETRY_BUDGETS = "retry_budgets"
 
--- a/src/samphirespring/process/scheduled_targets.py
+++ b/src/samphirespring/process/scheduled_targets.py
@@ -14,6 +14,7 @@
 from samphirespring.connection.channel_client import AttemptChannel, ChannelSelection
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.process.document.relay_tree import Peer
+from samphirespring.process.ids import WorkKind
 from samphirespring.process.local_targets import LocalTargetSource
 from samphirespring.process.mailbox import Mailbox, ask
 from samphirespring.process.target_table_messages import FindScheduler, TableMessage, UpdateLoad
@@ -52,14 +53,21 @@
         candidate: The target.
         selection: The selection on the channel to the scheduler.
         table: Inbox of the own table, which learns from the attempt, too.
+        kind: Kind of the request; None if it isn't known.
     """
 
     def __init__(
-        self, candidate: Candidate, selection: ChannelSelection, table: Mailbox[TableMessage]
+        self,
+        candidate: Candidate,
+        selection: ChannelSelection,
+        table: Mailbox[TableMessage],
+        *,
+        kind: WorkKind | None = None,
     ) -> None:
         self._candidate = candidate
         self._selection = selection
         self._table = table
+        self._kind = kind
 
     @property
     def candidate(self) -> Candidate:
@@ -69,7 +77,9 @@
     def report_load(self, load: TargetLoad) -> None:
         """Pass on the target's load to the scheduler and the own table."""
         self._selection.load = load
-        self._table.post_always(UpdateLoad(target=self._candidate.target, load=load))
+        self._table.post_always(
+            UpdateLoad(target=self._candidate.target, load=load, kind=self._kind)
+        )
 
 
 class ScheduledTargetSource(TargetSource):
@@ -130,7 +140,7 @@
             return None
         if selection.candidate is None:
             return None
-        return ScheduledSelection(selection.candidate, selection, self._table)
+        return ScheduledSelection(selection.candidate, selection, self._table, kind=terms.kind)
 
     async def _find_scheduler(self, service: ServiceName) -> Peer | None:
         now_s = self._timers.read_now_s()
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -8,7 +8,8 @@
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.ids import HostId, TargetId
 from samphirespring.process.targets import Locality, TargetLoad
-from samphirespring.request.selection import Candidate, Choice, is_usable
+from samphirespring.process.work.target_backlog import TargetBacklog
+from samphirespring.request.selection import Candidate, Choice, ExpectedTime, is_usable
 from samphirespring.request.subset import choose_subset
 
 LOAD_DECAY_S = 1.0
@@ -27,6 +28,7 @@
         risk: Probability of a fault as last reported by the agent; None before the first report.
         risk_reported_at_s: Time of that report, in seconds of monotonic time.
         sent_at_s: Start of the latest attempt on the target, in seconds of monotonic time.
+        backlog: What the target still has to do.
     """
 
     candidate: Candidate
@@ -36,6 +38,7 @@
     risk: float | None = None
     risk_reported_at_s: float = -math.inf
     sent_at_s: float = -math.inf
+    backlog: TargetBacklog = msgspec.field(default_factory=TargetBacklog)
 
     def estimate_risk(self, model: FaultModel | None, now_s: float) -> float | None:
         """Return the probability that the target is in a fault now.
@@ -77,6 +80,32 @@
         if load.risk is not None:
             self.risk = load.risk
             self.risk_reported_at_s = now_s
+        if load.work is not None:
+            running = load.slots - load.free_slots
+            self.backlog.use_report(load.work, running=running, now_s=now_s)
+
+    def estimate_time(self, work_s: float | None, now_s: float) -> ExpectedTime | None:
+        """Estimate the time that a request would take; None if its work isn't known.
+
+        Args:
+            work_s: Expected work of the request, in seconds.
+            now_s: Monotonic time, in seconds.
+        """
+        if work_s is None:
+            return None
+        pace = self.backlog.read_pace(now_s)
+        return ExpectedTime(
+            work_s=work_s, wait_s=self._estimate_wait_s(pace, now_s), run_s=work_s * pace
+        )
+
+    def _estimate_wait_s(self, pace: float, now_s: float) -> float:
+        """Return the time until a slot is free, in seconds."""
+        if self.estimate_free_slots(now_s) >= 1.0:
+            return 0.0
+        slots = self.candidate.load.slots
+        mean_left_s = self.backlog.read_remaining_s(now_s) * pace / slots
+        # The first of as many attempts as there are slots ends about that much sooner.
+        return mean_left_s / slots
 
 
 class ServicePool:
@@ -163,14 +192,16 @@
         if is_usable(member.candidate) != was_usable:
             self.reset_subset()
 
-    def acquire(self, target: TargetId, *, now_s: float) -> None:
+    def acquire(self, target: TargetId, *, now_s: float, work_s: float = 0.0) -> None:
         """Count the start of an attempt of this front.
 
         Args:
             target: The target.
             now_s: Monotonic time, in seconds.
+            work_s: Expected work of the attempt, in seconds; 0.0 if it isn't known.
         """
         member = self._members[target]
+        member.backlog.add(work_s, slots=member.candidate.load.slots, now_s=now_s)
         member.in_flight += 1
         member.sent_at_s = now_s
 
@@ -183,6 +214,7 @@
         member = self._members.get(target)
         if member is not None and member.in_flight > 0:
             member.in_flight -= 1
+            member.backlog.remove()
 
     def list_choices(
         self,
@@ -191,6 +223,7 @@
         subset_size: int,
         now_s: float,
         model: FaultModel | None = None,
+        work_s: float | None = None,
     ) -> Sequence[Sequence[Choice]]:
         """Return the targets that the front uses, by distance, with their estimated free slots.
 
@@ -199,6 +232,7 @@
             subset_size: Number of targets to use if the service has more.
             now_s: Monotonic time, in seconds.
             model: Fault model of the service; None if faults aren't tracked.
+            work_s: Expected work of the request, in seconds; None if it isn't known.
         """
         if self._tiers is None:
             self._tiers = self._choose_tiers(region_hosts, subset_size)
@@ -210,6 +244,7 @@
                     risk=member.estimate_risk(model, now_s),
                     risk_age_s=now_s - member.risk_reported_at_s,
                     sent_age_s=now_s - member.sent_at_s,
+                    expected=member.estimate_time(work_s, now_s),
                 )
                 for member in tier
             ]
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -1,5 +1,6 @@
 """A front's table of all targets, owned by one task."""
 
+import math
 import random
 from collections.abc import Mapping
 
@@ -54,6 +55,8 @@
 from samphirespring.process.tasks import OwnerTask
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage, UseFrontCount
+from samphirespring.process.work.service_costs import ServiceCosts
+from samphirespring.process.work.work_estimator import ServiceWorkDump
 from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.scheduler_choice import choose_scheduler
 from samphirespring.request.selection import Candidate, Selector, group_by_distance
@@ -101,6 +104,7 @@
         self._advice = TargetAdvice(generator or random.Random())
         self._risk_selector = RiskSelector(generator or random.Random())
         self._models: dict[ServiceName, FaultModel] = {}
+        self._costs = ServiceCosts()
         self._excluded: dict[ServiceName, frozenset[TargetId]] = {}
         self.path_prober_inbox: Mailbox[ProbePath] = Mailbox(
             name="path_prober", capacity=PROBE_CAPACITY
@@ -169,6 +173,9 @@
         if wanted is DumpList.HELD:
             message.reply.send(self._list_held().read_page(message.request.cursor))
             return
+        if wanted is DumpList.COSTS:
+            message.reply.send(self._list_costs().read_page(message.request.cursor))
+            return
         try:
             message.reply.send(self._advice.find_list(wanted).read_page(message.request.cursor))
         except ListUnknownError as error:
@@ -183,16 +190,21 @@
     def _list_held(self) -> PagedList[EntryKey]:
         return make_key_list(DumpList.HELD, [EntryKey(host) for host in self._held.hosts])
 
+    def _list_costs(self) -> PagedList[ServiceWorkDump]:
+        return self._costs.list_services(self._timers.read_now_s())
+
     def _make_dump(self) -> TargetTableDump:
         hosts = self._list_hosts().read_page()
         held = self._list_held().read_page()
+        costs = self._list_costs().read_page()
         advice, infos = self._advice.make_dump()
         return TargetTableDump(
             registry_version=self._version,
             hosts=hosts.items,
             advice=advice,
+            costs=costs.items,
             held=held.items,
-            pages=(hosts.info, held.info, *infos),
+            pages=(hosts.info, held.info, costs.info, *infos),
             waiting_messages=self.inbox.waiting_count,
         )
 
@@ -232,12 +244,14 @@
         now_s = self._timers.read_now_s()
         self._apply_ejections(pool, service, now_s)
         model = self._models.get(service)
+        work_s = self._costs.estimate(service, terms.kind, now_s=now_s)
         tiers = self._advice.filter_tiers(
             pool.list_choices(
                 region_hosts=self._region_hosts,
                 subset_size=self._subset_size,
                 now_s=now_s,
                 model=model,
+                work_s=work_s,
             ),
             service=service,
             idempotent=terms.idempotent,
@@ -256,10 +270,11 @@
                 suspected=terms.suspected,
                 is_shared=message.is_shared,
                 body_bytes=terms.body_bytes,
+                aim_s=terms.aim_ms / 1_000 or math.inf,
             )
         if candidate is None:
             return None
-        pool.acquire(candidate.target, now_s=now_s)
+        pool.acquire(candidate.target, now_s=now_s, work_s=work_s or 0.0)
         self._advice.record_selection(candidate.target, service=service, now_s=now_s)
         detection = self._advice.read_terms(service, now_s=now_s)
         return msgspec.structs.replace(candidate, terms=detection)
@@ -296,16 +311,19 @@
         pool = self._find_pool(message.target)
         if pool is not None:
             now_s = self._timers.read_now_s()
+            service = self._services[message.target]
+            self._costs.learn(service, message.kind, message.load.work, now_s=now_s)
             pool.update_load(message.target, message.load, now_s=now_s)
             self._advice.update_load(
                 message.target,
                 message.load,
-                service=self._services[message.target],
+                service=service,
                 now_s=now_s,
             )
 
     def _use_policies(self, policies: Mapping[ServiceName, ServicePolicy]) -> None:
         self._advice.use_policies(policies)
+        self._costs.use_policies(policies)
         models = {service: make_fault_model(policy) for service, policy in policies.items()}
         self._models = {service: model for service, model in models.items() if model is not None}
 
--- a/src/samphirespring/process/target_table_messages.py
+++ b/src/samphirespring/process/target_table_messages.py
@@ -6,12 +6,19 @@
 
 from samphirespring.process.document.relay_tree import Peer
 from samphirespring.process.host_dump import HostDump
-from samphirespring.process.ids import FailureDomainName, HostId, RegistryVersion, TargetId
+from samphirespring.process.ids import (
+    FailureDomainName,
+    HostId,
+    RegistryVersion,
+    TargetId,
+    WorkKind,
+)
 from samphirespring.process.mailbox import ReplySlot
 from samphirespring.process.paging import DumpPage, EntryKey, PageRequest
 from samphirespring.process.target_advice import TargetAdviceDump
 from samphirespring.process.targets import HostRecord, Locality, RegistryDelta, TargetLoad
 from samphirespring.process.tasks import PagedDump
+from samphirespring.process.work.work_estimator import ServiceWorkDump
 from samphirespring.request.selection import Candidate
 from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import ServicePolicy
@@ -35,6 +42,8 @@
 
     target: TargetId
     load: TargetLoad
+    kind: WorkKind | None = None
+    """Kind of the request that the attempt belonged to; None if it isn't known."""
 
 
 class ReleaseTarget(msgspec.Struct, frozen=True, kw_only=True):
@@ -134,6 +143,9 @@
     registry_version: RegistryVersion
     hosts: tuple[HostDump, ...]
     advice: TargetAdviceDump
+    costs: tuple[ServiceWorkDump, ...]
+    """Learned costs of the services whose requests are placed by work."""
+
     held: tuple[EntryKey, ...]
     """Hosts missing from the registry's latest complete table that are kept for a limited time."""
 
--- a/src/samphirespring/process/targets.py
+++ b/src/samphirespring/process/targets.py
@@ -23,6 +23,20 @@
     host: HostId
 
 
+class TargetWork(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
+    """What a target still has to do, as its agent expects it."""
+
+    remaining_s: float
+    """Work of all attempts that run or wait, in seconds of a target of usual speed."""
+
+    pace: float
+    """Ratio of the target's times to the usual ones; at 2.0 it takes twice as long."""
+
+    run_s: float | None = None
+    """Time that the attempt that carries the report took, in seconds; None if the attempt says
+    nothing about its cost."""
+
+
 class TargetLoad(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
     """State of a target that its agent reports with each response."""
 
@@ -42,6 +56,9 @@
     summary: TargetSummary | None = None
     """The target's contribution to the pool's reference; sent with responses only."""
 
+    work: TargetWork | None = None
+    """What the target still has to do; None unless its service places requests by work."""
+
 
 class TargetRecord(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
     """One target in the registry and in the tables of the fronts."""
--- /dev/null
+++ b/src/samphirespring/process/work/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of requests, and the work that each target still has to do."""
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -59,6 +59,7 @@
 from samphirespring.request.retry import RetryDecision, RetryPlanner
 from samphirespring.request.states import Outcome
 from samphirespring.request.target_source import Selection, SelectionTerms
+from samphirespring.request.work_kind import make_work_kind
 from samphirespring.version.ids import DocumentVersion
 from samphirespring.version.routes import Route
 
@@ -177,6 +178,10 @@
             idempotent=False,
             tried=frozenset(step.tried),
             body_bytes=self._request.body.length or 0,
+            kind=make_work_kind(
+                self._policy, method=self._request.method, body_bytes=self._request.body.length
+            ),
+            aim_ms=self._policy.aim_ms or self._policy.deadline_ms,
         )
         selection = await self._acquired_target.enter_async_context(
             self._context.exchange.targets.select(terms)
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -181,4 +181,5 @@
         max_risk=candidate.max_risk,
         may_try=candidate.may_try,
         terms=candidate.terms,
+        work_s=None if candidate.expected is None else candidate.expected.work_s,
     )
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -4,7 +4,7 @@
 
 from samphirespring.process.ids import TargetId
 from samphirespring.process.mailbox import ask
-from samphirespring.process.metrics.metric_names import Counter
+from samphirespring.process.metrics.metric_names import Counter, Timing
 from samphirespring.process.retry_budget import RetryKind
 from samphirespring.process.traffic_limiter import AcquireRetry
 from samphirespring.request.attempt import Attempt, make_attempt_request
@@ -30,10 +30,11 @@
     ResponseEnd,
 )
 from samphirespring.request.retry import RetryDecision, RetryPlanner, RetryStep
-from samphirespring.request.selection import Candidate
+from samphirespring.request.selection import Candidate, ExpectedTime
 from samphirespring.request.states import FailureKind, Outcome, RefusalCode
 from samphirespring.request.target_source import Selection, SelectionTerms
 from samphirespring.request.trace import AttemptTrace
+from samphirespring.request.work_kind import make_work_kind
 from samphirespring.version.ids import DocumentVersion
 from samphirespring.version.routes import Route
 
@@ -156,6 +157,10 @@
             idempotent=self._policy.idempotent,
             suspected=frozenset(self._suspected),
             body_bytes=self._request.body.length or 0,
+            kind=make_work_kind(
+                self._policy, method=self._request.method, body_bytes=self._request.body.length
+            ),
+            aim_ms=self._policy.aim_ms or self._policy.deadline_ms,
         )
         async with self._context.targets.select(terms) as selection:
             if selection is None:
@@ -165,6 +170,13 @@
                 )
             return await self._send_attempt(selection)
 
+    def _record_expected(self, expected: ExpectedTime | None) -> None:
+        if expected is None:
+            return
+        metrics = self._context.metrics
+        metrics.record_duration(Timing.FRONT_EXPECTED_WAIT, expected.wait_s)
+        metrics.record_duration(Timing.FRONT_EXPECTED_RUN, expected.run_s)
+
     async def _send_attempt(self, selection: Selection) -> AttemptResult:
         candidate = selection.candidate
         message = make_attempt_request(
@@ -179,6 +191,7 @@
         self.traces.append(trace)
         self._response.attempt_count = self.attempt_count
         self._context.metrics.count(Counter.FRONT_ATTEMPTS)
+        self._record_expected(candidate.expected)
         attempt = Attempt(
             self._context,
             message=message,
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -69,6 +69,9 @@
     body_length: int | None = None
     """Length of a body that follows, in bytes; None if the caller didn't declare it."""
 
+    work_s: float | None = None
+    """Expected work, in seconds of a target of usual speed; None if the front expects nothing."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -6,6 +6,7 @@
 repeated, also explore other targets now and then, so that the risk estimates stay up to date.
 """
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 
@@ -33,6 +34,17 @@
 FULL_COST = 0.3
 """Cost of a target without a free slot."""
 
+LATE_COST = 0.3
+"""Cost of a target at which the request is expected to take just the time of its aim. Being late
+grows likely only near the aim, so the cost grows with the square of the expected time."""
+
+CROWD_COST = 0.15
+"""Cost of a target with all slots in use, for requests placed by work. Targets slow down when they
+are nearly full, so the cost grows with the square of the share of slots in use."""
+
+MAX_LATENESS = 2.0
+"""Ratio of the expected time to the aim from which the cost doesn't grow."""
+
 TRIED_COST = 1.0
 """Cost of a target that already failed or refused the request."""
 
@@ -91,6 +103,7 @@
         suspected: Collection[TargetId] = (),
         is_shared: bool = False,
         body_bytes: int = 0,
+        aim_s: float = math.inf,
     ) -> Candidate | None:
         """Return the target for the next attempt, or None if there is none.
 
@@ -101,6 +114,7 @@
             suspected: Targets that refused the request because others seemed better.
             is_shared: Whether many fronts ask, so that the reports tell of all their attempts.
             body_bytes: Length of the request's body.
+            aim_s: Time within which a response is useful, in seconds.
         """
         distance_costs = _compute_distance_costs(body_bytes)
         costs = [
@@ -109,6 +123,7 @@
                 distance,
                 tried,
                 distance_cost=distance_costs[distance],
+                aim_s=aim_s,
                 tie_breaker=self._generator.random(),
             )
             for distance, tier in zip(Distance, tiers, strict=True)
@@ -213,9 +228,10 @@
     tried: Collection[TargetId],
     *,
     distance_cost: float,
+    aim_s: float,
     tie_breaker: float,
 ) -> _Cost:
-    value = _compute_cost(choice, tried) + distance_cost
+    value = _compute_cost(choice, tried, aim_s) + distance_cost
     optimistic_value = value - _estimate_improvement(choice, distance)
     return _Cost(
         value=value, optimistic_value=optimistic_value, tie_breaker=tie_breaker, choice=choice
@@ -228,7 +244,11 @@
 
 def _make_candidate(choice: Choice, *, max_risk: float, may_try: bool) -> Candidate:
     return msgspec.structs.replace(
-        choice.candidate, risk=choice.risk, max_risk=max_risk, may_try=may_try
+        choice.candidate,
+        risk=choice.risk,
+        max_risk=max_risk,
+        may_try=may_try,
+        expected=choice.expected,
     )
 
 
@@ -243,14 +263,20 @@
     return max(0.0, _get_risk(choice) - OPTIMISTIC_RISK)
 
 
-def _compute_cost(choice: Choice, tried: Collection[TargetId]) -> float:
+def _compute_cost(choice: Choice, tried: Collection[TargetId], aim_s: float) -> float:
     """Return the cost of a target other than that of its distance."""
-    cost = _get_risk(choice)
-    slots = choice.candidate.load.slots
-    if choice.free_slots < 1.0:
-        cost += FULL_COST
-    else:
-        cost += BUSY_COST * (1.0 - min(1.0, choice.free_slots / slots))
+    cost = _get_risk(choice) + _compute_load_cost(choice, aim_s)
     if choice.candidate.target in tried:
         cost += TRIED_COST
     return cost
+
+
+def _compute_load_cost(choice: Choice, aim_s: float) -> float:
+    """Return the cost of what the target has to do, and of how long it would take."""
+    is_full = choice.free_slots < 1.0
+    used_share = 1.0 - min(1.0, choice.free_slots / choice.candidate.load.slots)
+    if choice.expected is None:
+        return FULL_COST if is_full else BUSY_COST * used_share
+    lateness = min(MAX_LATENESS, choice.expected.total_s / aim_s)
+    crowd_cost = FULL_COST if is_full else CROWD_COST * used_share**2
+    return LATE_COST * lateness**2 + crowd_cost
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -17,6 +17,28 @@
 """Factors on the free slots by condition; targets in other conditions count in full."""
 
 
+MIN_TIME_S = 0.001
+"""Expected times of less are equal, in seconds."""
+
+
+class ExpectedTime(msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False):
+    """Time that a request is expected to take at a target."""
+
+    work_s: float
+    """Work of the request, in seconds of a target of usual speed."""
+
+    wait_s: float
+    """Time until the target has a free slot, in seconds."""
+
+    run_s: float
+    """Time in the target's slot, in seconds."""
+
+    @property
+    def total_s(self) -> float:
+        """Time until the response, in seconds."""
+        return self.wait_s + self.run_s
+
+
 class Candidate(msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False):
     """A target that can be selected, with what the front tracks of it."""
 
@@ -43,6 +65,9 @@
     may_try: bool = False
     """Whether the attempt may be used to test if the target has recovered."""
 
+    expected: ExpectedTime | None = None
+    """Time that the request was expected to take; None unless requests are placed by work."""
+
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A candidate with its current estimates."""
@@ -58,6 +83,9 @@
     sent_age_s: float = math.inf
     """Time since this table selected it for an attempt, in seconds."""
 
+    expected: ExpectedTime | None = None
+    """Time that the request is expected to take; None unless requests are placed by work."""
+
 
 class Distance(IntEnum):
     """Distance of a target from the front; nearer targets are preferred."""
@@ -101,7 +129,7 @@
             free = [[c for c in tier if c.free_slots >= 1.0] for tier in candidate_tiers]
             choice = self._choose_nearest(free) or self._choose_nearest(candidate_tiers)
             if choice is not None:
-                return choice.candidate
+                return msgspec.structs.replace(choice.candidate, expected=choice.expected)
         return None
 
     def _choose_nearest(self, tiers: Sequence[Sequence[Choice]]) -> Choice | None:
@@ -173,4 +201,6 @@
 def _score(choice: Choice) -> float:
     candidate = choice.candidate
     share = choice.free_slots / candidate.load.slots
+    if choice.expected is not None:
+        share /= max(MIN_TIME_S, choice.expected.total_s)
     return share * candidate.weight * CONDITION_WEIGHTS.get(candidate.load.condition, 1.0)
--- a/src/samphirespring/request/target_source.py
+++ b/src/samphirespring/request/target_source.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from samphirespring.process.ids import TargetId
+from samphirespring.process.ids import TargetId, WorkKind
 from samphirespring.process.targets import TargetLoad
 from samphirespring.request.selection import Candidate
 from samphirespring.version.ids import ServiceName
@@ -20,6 +20,8 @@
         suspected: Targets that refused it because they may be faulty and others seemed better.
         idempotent: Whether the request is idempotent; others never go to targets on trial.
         body_bytes: Length of the request's body; 0 if it isn't known.
+        kind: Kind of the request, by which its cost is expected; None if it isn't known.
+        aim_ms: Time within which a response is useful, in milliseconds.
     """
 
     service: ServiceName
@@ -27,6 +29,8 @@
     suspected: frozenset[TargetId] = frozenset()
     idempotent: bool = True
     body_bytes: int = 0
+    kind: WorkKind | None = None
+    aim_ms: int = 0
 
     @property
     def is_first(self) -> bool:
--- a/src/samphirespring/request/trace.py
+++ b/src/samphirespring/request/trace.py
@@ -34,6 +34,9 @@
         if self.candidate.risk is not None:
             fields["risk"] = round(self.candidate.risk, 3)
             fields["max_risk"] = round(self.candidate.max_risk, 3)
+        if self.candidate.expected is not None:
+            fields["wait_s"] = round(self.candidate.expected.wait_s, 3)
+            fields["run_s"] = round(self.candidate.expected.run_s, 3)
         return fields
 
 
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -13,7 +13,7 @@
     TeamName,
     WorkspaceId,
 )
-from samphirespring.version.states import DetectionMode, PriorityClass
+from samphirespring.version.states import DetectionMode, PlacementMode, PriorityClass
 
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
@@ -123,6 +123,10 @@
     """Model of short faults, for services where they are common: requests avoid a target from its
     first failure on; null waits for the evidence of `detection`."""
 
+    placement: PlacementMode = PlacementMode.SLOTS
+    """What decides, beside risk and distance, which target a request goes to: `slots` counts free
+    slots, `work` weighs the learned cost of the request against what each target has to do."""
+
     retry_share: Share = 0.1
     """Retries and hedges allowed for each request, over the service's recent requests."""
 
--- a/src/samphirespring/version/states.py
+++ b/src/samphirespring/version/states.py
@@ -11,6 +11,16 @@
     HELPER = "helper"
 
 
+class PlacementMode(Enum):
+    """What decides, beside risk and distance, which target a request goes to."""
+
+    SLOTS = "slots"
+    """The free slots of each target."""
+
+    WORK = "work"
+    """What the request is likely to cost, and what each target still has to do."""
+
+
 class DetectionMode(Enum):
     """Whether a service prefers short detection times or few false ejections."""
 
