Costs are learned at the scheduling host and at the front; cheaper estimates in a selection

Cause: the wire path of a learned cost had no test, and a front that loses the host that selects for it has to go on by what its own table knows. A selection estimated free slots twice for each target. Change: a scenario of `scheduling` over real links: both tables learn from an attempt, the scheduling host's estimate reaches every front, and the front's own holds once that host stands still. Free slots are estimated once, the wait only for full targets, and no exponential is taken for targets of usual pace.

--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -66,6 +66,26 @@
         free_without_own = slots - (slots - self.free_without_own) * load_weight
         return max(0.0, min(float(slots), free_without_own) - self.in_flight)
 
+    def make_choice(
+        self, model: FaultModel | None, *, work_s: float | None, now_s: float
+    ) -> Choice:
+        """Return the target with its current estimates.
+
+        Args:
+            model: Fault model of the service; None if faults aren't tracked.
+            work_s: Expected work of the request, in seconds; None if it isn't known.
+            now_s: Monotonic time, in seconds.
+        """
+        free_slots = self.estimate_free_slots(now_s)
+        return Choice(
+            candidate=self.candidate,
+            free_slots=free_slots,
+            risk=self.estimate_risk(model, now_s),
+            risk_age_s=now_s - self.risk_reported_at_s,
+            sent_age_s=now_s - self.sent_at_s,
+            expected=self.estimate_time(work_s, free_slots=free_slots, now_s=now_s),
+        )
+
     def update_load(self, load: TargetLoad, *, now_s: float) -> None:
         """Update the load from the end of one of the front's attempts.
 
@@ -84,24 +104,24 @@
             running = load.slots - load.free_slots
             self.backlog.use_report(load.work, running=running, now_s=now_s)
 
-    def estimate_time(self, work_s: float | None, now_s: float) -> ExpectedTime | None:
+    def estimate_time(
+        self, work_s: float | None, *, free_slots: float, now_s: float
+    ) -> ExpectedTime | None:
         """Estimate the time that a request would take; None if its work isn't known.
 
         Args:
             work_s: Expected work of the request, in seconds.
+            free_slots: Estimated free slots.
             now_s: Monotonic time, in seconds.
         """
         if work_s is None:
             return None
         pace = self.backlog.read_pace(now_s)
-        return ExpectedTime(
-            work_s=work_s, wait_s=self._estimate_wait_s(pace, now_s), run_s=work_s * pace
-        )
+        wait_s = 0.0 if free_slots >= 1.0 else self._estimate_wait_s(pace, now_s)
+        return ExpectedTime(work_s=work_s, wait_s=wait_s, run_s=work_s * pace)
 
     def _estimate_wait_s(self, pace: float, now_s: float) -> float:
-        """Return the time until a slot is free, in seconds."""
-        if self.estimate_free_slots(now_s) >= 1.0:
-            return 0.0
+        """Return the time until one of the slots, which are all in use, is free, in seconds."""
         slots = self.candidate.load.slots
         mean_left_s = self.backlog.read_remaining_s(now_s) * pace / slots
         # The first of as many attempts as there are slots ends about that much sooner.
@@ -237,17 +257,7 @@
         if self._tiers is None:
             self._tiers = self._choose_tiers(region_hosts, subset_size)
         return [
-            [
-                Choice(
-                    candidate=member.candidate,
-                    free_slots=member.estimate_free_slots(now_s),
-                    risk=member.estimate_risk(model, now_s),
-                    risk_age_s=now_s - member.risk_reported_at_s,
-                    sent_age_s=now_s - member.sent_at_s,
-                    expected=member.estimate_time(work_s, now_s),
-                )
-                for member in tier
-            ]
+            [member.make_choice(model, work_s=work_s, now_s=now_s) for member in tier]
             for tier in self._tiers
         ]
 
--- a/src/samphirespring/process/work/target_backlog.py
+++ b/src/samphirespring/process/work/target_backlog.py
@@ -75,6 +75,8 @@
         Args:
             now_s: Monotonic time, in seconds.
         """
+        if self._pace == 1.0:
+            return 1.0
         age_s = max(0.0, now_s - self._pace_reported_at_s)
         return 1.0 + (self._pace - 1.0) * math.exp(-age_s / PACE_FADE_S)
 
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -75,6 +75,13 @@
     When a front selects a target and learns that it is in a fault
     Then the host selects other targets for the other fronts
 
+  # Guards against costs that only the host that selects knows, so that they are lost with it.
+  Scenario: The host that selects and the front both learn costs, and the front goes on without the host
+    Given a host that selects among 10 targets with 1 slot each, by work
+    When a front's request of a kind runs for 0.5 s
+    Then the host expects 0.5 s for the next request of the kind, and so does another front
+    And when the host's table stands still, the first front still expects 0.5 s
+
   Scenario: Without a reply in time a front selects by its own table
     Given a host that selects among 10 targets with 1 slot each, and whose table stands still
     When a front selects 8 targets one after the other
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -29,13 +29,20 @@
     SelectTarget,
     UseServicePolicies,
 )
-from samphirespring.process.targets import HostRecord, Locality, RegistryDelta, TargetRecord
+from samphirespring.process.targets import (
+    HostRecord,
+    Locality,
+    RegistryDelta,
+    TargetRecord,
+    TargetWork,
+)
 from samphirespring.process.timers import MonotonicTimerService
 from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.scheduler_choice import choose_scheduler
 from samphirespring.request.selection import Candidate, Choice, NearestOfTwoSelector
 from samphirespring.request.target_source import SelectionTerms
 from samphirespring.version.document import ServicePolicy, SuspicionPolicy
+from samphirespring.version.states import PlacementMode
 
 SERVICE = "s"
 ADDRESS = "127.0.0.1:26413"
@@ -121,10 +128,11 @@
 class Scheduling:
     """A host that selects targets, and fronts that ask it over links."""
 
-    def __init__(self, *, targets, address=ADDRESS, stands_still=False):
+    def __init__(self, *, targets, address=ADDRESS, stands_still=False, policy=POLICY):
         self.timers = MonotonicTimerService()
         self.address = address
         self.stands_still = stands_still
+        self.policy = policy
         self.records = tuple(
             HostRecord(
                 locality=make_locality("r1/a", f"h{number}"),
@@ -148,7 +156,7 @@
         )
         delta = RegistryDelta(since=0, version=2, complete=True, hosts=self.records)
         table.inbox.post(ApplyDelta(delta=delta))
-        table.inbox.post(UseServicePolicies(policies={SERVICE: POLICY}))
+        table.inbox.post(UseServicePolicies(policies={SERVICE: self.policy}))
         return table
 
     def run(self, call):
@@ -224,6 +232,47 @@
     context.scheduling = Scheduling(targets=count, address=UNREACHABLE_ADDRESS)
 
 
+@given("a host that selects among {count:d} targets with 1 slot each, by work")
+def step_make_host_by_work(context, count):
+    policy = msgspec.structs.replace(POLICY, placement=PlacementMode.WORK)
+    context.scheduling = Scheduling(targets=count, policy=policy)
+
+
+@when("a front's request of a kind runs for {run_s:g} s")
+def step_learn(context, run_s):
+    terms = msgspec.structs.replace(TERMS, kind="GET h/ 0", aim_ms=2_000)
+    work = TargetWork(remaining_s=0.0, pace=1.0, run_s=run_s)
+
+    async def select(source):
+        async with source.select(terms) as selection:
+            return selection.candidate.expected
+
+    async def call(scheduling):
+        source, _ = await scheduling.start_front("first", reply_timeout_s=REPLY_TIMEOUT_S)
+        other, _ = await scheduling.start_front("other")
+        async with other.select(terms) as selection:
+            assert selection.candidate.expected is None, selection.candidate
+            selection.report_load(msgspec.structs.replace(LOAD_OF_ONE_SLOT, work=work))
+        async with source.select(terms) as selection:
+            selection.report_load(msgspec.structs.replace(LOAD_OF_ONE_SLOT, work=work))
+        await anyio.sleep(SETTLE_S)
+        context.expected = [await select(source), await select(other)]
+        scheduling.table_scope.cancel()
+        context.expected_alone = await select(source)
+
+    context.scheduling.run(call)
+
+
+@then("the host expects {run_s:g} s for the next request of the kind, and so does another front")
+def step_check_learned(context, run_s):
+    assert [e.work_s for e in context.expected] == [run_s, run_s], context.expected
+
+
+@then("when the host's table stands still, the first front still expects {run_s:g} s")
+def step_check_alone(context, run_s):
+    assert context.expected_alone.work_s == run_s, context.expected_alone
+
+
 @when("a front selects {count:d} targets, and then {end}")
 def step_select_before(context, count, end):
     async def before(scheduling):
