--- a/src/samphirespring/process/agent/admission_queue.py
+++ b/src/samphirespring/process/agent/admission_queue.py
@@ -85,6 +85,11 @@
     def __len__(self) -> int:
         """Return the number of waiting attempts."""
 
+    @property
+    @abstractmethod
+    def waiting_work_s(self) -> float:
+        """Expected work of the waiting attempts, in seconds of a target of usual speed."""
+
     @abstractmethod
     def find_wait_end(self, request: AttemptRequest, *, pace: SlotPace, now_s: float) -> float:
         """Return until when an attempt may wait, in seconds of monotonic time.
--- a/src/samphirespring/process/agent/brief_queue.py
+++ b/src/samphirespring/process/agent/brief_queue.py
@@ -26,6 +26,11 @@
     def __len__(self) -> int:
         return len(self._urgent) + len(self._helpers)
 
+    @property
+    def waiting_work_s(self) -> float:
+        """Expected work of the waiting attempts, in seconds of a target of usual speed."""
+        return sum(w.request.work_s or 0.0 for w in (*self._urgent, *self._helpers))
+
     def find_wait_end(self, request: AttemptRequest, *, pace: SlotPace, now_s: float) -> float:
         """Return until when an attempt may wait, in seconds of monotonic time."""
         return now_s + min(request.remaining_ms / 1_000, MAX_WAIT_S)
--- a/src/samphirespring/process/agent/waiting_room.py
+++ b/src/samphirespring/process/agent/waiting_room.py
@@ -48,6 +48,11 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    @property
+    def waiting_work_s(self) -> float:
+        """Expected work of the waiting attempts, in seconds of a target of usual speed."""
+        return sum(waiter.request.work_s or 0.0 for waiter in self._waiters)
+
     def find_wait_end(self, request: AttemptRequest, *, pace: SlotPace, now_s: float) -> float:
         """Return until when an attempt may wait, in seconds of monotonic time.
 
--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -89,6 +89,8 @@
     """Durations."""
 
     FRONT_REQUEST_DURATION = "front.request_duration"
+    FRONT_EXPECTED_WAIT = "front.expected_wait"
+    FRONT_EXPECTED_RUN = "front.expected_run"
     AGENT_DETECTION_TIME = "agent.detection_time"
     AGENT_SLOT_WAIT = "agent.slot_wait"
     AGENT_PROBE_DURATION = "agent.probe_duration"
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -8,7 +8,14 @@
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.ids import HostId, TargetId
 from samphirespring.process.targets import Locality, TargetLoad
-from samphirespring.request.selection import Candidate, Choice, Distance, is_usable
+from samphirespring.process.work.target_backlog import TargetBacklog
+from samphirespring.request.selection import (
+    Candidate,
+    Choice,
+    Distance,
+    ExpectedTime,
+    is_usable,
+)
 from samphirespring.request.subset import choose_subset
 
 LOAD_DECAY_S = 1.0
@@ -27,6 +34,7 @@
         risk: Probability of a fault as last reported by the agent; None before the first report.
         risk_reported_at_s: Time of that report, in seconds of monotonic time.
         sent_at_s: Start of the latest attempt on the target, in seconds of monotonic time.
+        backlog: What the target still has to do.
     """
 
     candidate: Candidate
@@ -36,6 +44,7 @@
     risk: float | None = None
     risk_reported_at_s: float = -math.inf
     sent_at_s: float = -math.inf
+    backlog: TargetBacklog = msgspec.field(default_factory=TargetBacklog)
 
     def estimate_risk(self, model: FaultModel | None, now_s: float) -> float | None:
         """Return the probability that the target is in a fault now.
@@ -63,21 +72,26 @@
         free_without_own = slots - (slots - self.free_without_own) * load_weight
         return min(float(slots), free_without_own) - self.in_flight
 
-    def make_choice(self, model: FaultModel | None, now_s: float) -> Choice:
+    def make_choice(
+        self, model: FaultModel | None, *, work_s: float | None, now_s: float
+    ) -> Choice:
         """Return the target with its current estimates.
 
         Args:
             model: Fault model of the service; None if faults aren't tracked.
+            work_s: Expected work of the request, in seconds; None if it isn't known.
             now_s: Monotonic time, in seconds.
         """
         room = self.estimate_room(now_s)
+        free_slots = max(0.0, room)
         return Choice(
             candidate=self.candidate,
-            free_slots=max(0.0, room),
+            free_slots=free_slots,
             waiting=max(0.0, -room),
             risk=self.estimate_risk(model, now_s),
             risk_age_s=now_s - self.risk_reported_at_s,
             sent_age_s=now_s - self.sent_at_s,
+            expected=self.estimate_time(work_s, free_slots=free_slots, now_s=now_s),
         )
 
     def update_load(self, load: TargetLoad, *, now_s: float) -> None:
@@ -94,6 +108,32 @@
         if load.risk is not None:
             self.risk = load.risk
             self.risk_reported_at_s = now_s
+        if load.work is not None:
+            running = load.slots - load.free_slots
+            self.backlog.use_report(load.work, running=running, now_s=now_s)
+
+    def estimate_time(
+        self, work_s: float | None, *, free_slots: float, now_s: float
+    ) -> ExpectedTime | None:
+        """Estimate the time that a request would take; None if its work isn't known.
+
+        Args:
+            work_s: Expected work of the request, in seconds.
+            free_slots: Estimated free slots.
+            now_s: Monotonic time, in seconds.
+        """
+        if work_s is None:
+            return None
+        pace = self.backlog.read_pace(now_s)
+        wait_s = 0.0 if free_slots >= 1.0 else self._estimate_wait_s(pace, now_s)
+        return ExpectedTime(work_s=work_s, wait_s=wait_s, run_s=work_s * pace)
+
+    def _estimate_wait_s(self, pace: float, now_s: float) -> float:
+        """Return the time until one of the slots, which are all in use, is free, in seconds."""
+        slots = self.candidate.load.slots
+        mean_left_s = self.backlog.read_remaining_s(now_s) * pace / slots
+        # The first of as many attempts as there are slots ends about that much sooner.
+        return mean_left_s / slots
 
 
 class ServicePool:
@@ -180,14 +220,16 @@
         if is_usable(member.candidate) != was_usable:
             self.reset_subset()
 
-    def acquire(self, target: TargetId, *, now_s: float) -> None:
+    def acquire(self, target: TargetId, *, now_s: float, work_s: float = 0.0) -> None:
         """Count the start of an attempt of this front.
 
         Args:
             target: The target.
             now_s: Monotonic time, in seconds.
+            work_s: Expected work of the attempt, in seconds; 0.0 if it isn't known.
         """
         member = self._members[target]
+        member.backlog.add(work_s, slots=member.candidate.load.slots, now_s=now_s)
         member.in_flight += 1
         member.sent_at_s = now_s
 
@@ -200,6 +242,7 @@
         member = self._members.get(target)
         if member is not None and member.in_flight > 0:
             member.in_flight -= 1
+            member.backlog.remove()
 
     def list_choices(
         self,
@@ -209,6 +252,7 @@
         now_s: float,
         model: FaultModel | None = None,
         is_shared: bool = False,
+        work_s: float | None = None,
     ) -> Sequence[Sequence[Choice]]:
         """Return the targets that the front uses, by distance, with their estimated free slots.
 
@@ -219,13 +263,17 @@
             model: Fault model of the service; None if faults aren't tracked.
             is_shared: Whether the front selects for its neighbours. It then uses all targets of its
                 region: what it leaves out gets nothing from any of them.
+            work_s: Expected work of the request, in seconds; None if it isn't known.
         """
         whole = Distance.SAME_REGION if is_shared else Distance.SAME_HOST
         tiers = self._tiers.get(whole)
         if tiers is None:
             tiers = self._choose_tiers(region_hosts, subset_size, whole)
             self._tiers[whole] = tiers
-        return [[member.make_choice(model, now_s) for member in tier] for tier in tiers]
+        return [
+            [member.make_choice(model, work_s=work_s, now_s=now_s) for member in tier]
+            for tier in tiers
+        ]
 
     def _choose_tiers(
         self, region_hosts: Collection[HostId], subset_size: int, whole: Distance
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -193,4 +193,5 @@
         workspace=request.workspace,
         api_key=request.api_key,
         aim_left_ms=policy.aim_ms - age_ms if policy.aim_ms else None,
+        work_s=None if candidate.expected is None else candidate.expected.work_s,
     )
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -85,6 +85,9 @@
     """Time left until the request's aim, in milliseconds; below 0 once it has passed, None without
     an aim."""
 
+    work_s: float | None = None
+    """Expected work, in seconds of a target of usual speed; None if the front expects nothing."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/src/samphirespring/version/states.py
+++ b/src/samphirespring/version/states.py
@@ -21,6 +21,16 @@
     """They wait in an order as long as they can be served in time."""
 
 
+class PlacementMode(Enum):
+    """What decides, beside risk and distance, which target a request goes to."""
+
+    SLOTS = "slots"
+    """The free slots of each target."""
+
+    WORK = "work"
+    """What the request is likely to cost, and what each target still has to do."""
+
+
 class DetectionMode(Enum):
     """Whether a service prefers short detection times or few false ejections."""
 
