Kinds are sent for services placed by work only; a server that starts again has a pace of its own

Change: make_work_kind gets the route with its service's policy, and is None by slots; a later start of a target begins with a new RemainingWork. Measured: features work_placement (both cases new), scheduling, request_decisions and actions pass. Conclusion: services by slots send what they sent before, but for empty fields.

--- a/src/samphirespring/process/agent/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -57,6 +57,8 @@
         """
         was_not_serving = self.announcement.phase is not TargetPhase.SERVING
         restarted = announcement.started_ms > self.announcement.started_ms
+        if restarted and self.work is not None:
+            self.work = RemainingWork()
         if restarted or (was_not_serving and announcement.phase is TargetPhase.SERVING):
             self.begin_slow_start(announcement, now_s)
         self.announcement = announcement
--- a/src/samphirespring/request/action_exchange.py
+++ b/src/samphirespring/request/action_exchange.py
@@ -123,6 +123,7 @@
         key = request.key or IdempotencyKey(request.request)
         self._request = msgspec.structs.replace(request, key=key)
         self._digest = digest
+        self._route = route
         self._policy = route.policy
         self._service = route.service
         self._planner = RetryPlanner(route.policy, generator=context.exchange.generator)
@@ -179,7 +180,7 @@
             tried=frozenset(step.tried),
             body_bytes=self._request.body.length or 0,
             kind=make_work_kind(
-                self._policy, method=self._request.method, body_bytes=self._request.body.length
+                self._route, method=self._request.method, body_bytes=self._request.body.length
             ),
             aim_ms=self._policy.aim_ms or self._policy.deadline_ms,
         )
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -158,7 +158,7 @@
             suspected=frozenset(self._suspected),
             body_bytes=self._request.body.length or 0,
             kind=make_work_kind(
-                self._policy, method=self._request.method, body_bytes=self._request.body.length
+                self._route, method=self._request.method, body_bytes=self._request.body.length
             ),
             aim_ms=self._policy.aim_ms or self._policy.deadline_ms,
         )
--- a/tests/features/steps/work_placement_steps.py
+++ b/tests/features/steps/work_placement_steps.py
@@ -33,6 +33,7 @@
 from samphirespring.request.selection import Candidate, group_by_distance
 from samphirespring.request.work_kind import make_work_kind
 from samphirespring.version.document import RoutePolicy, ServicePolicy, TeamSection
+from samphirespring.version.routes import Route
 from samphirespring.version.states import PlacementMode, PriorityClass
 
 PACES = {"fast": 0.7, "usual": 1.0, "slow": 2.0}
@@ -158,12 +159,23 @@
 
 @then("a method of the caller's own making doesn't make a kind of its own")
 def step_check_methods(context):
-    policy = RoutePolicy(host="h", service="s")
+    route = make_route(PlacementMode.WORK)
     methods = ("GET", "POST", "X-1", "X-2")
-    kinds = {make_work_kind(policy, method=method, body_bytes=0) for method in methods}
+    kinds = {make_work_kind(route, method=method, body_bytes=0) for method in methods}
     assert len(kinds) == 3, kinds
     lengths = (0, 100, 120, 100_000, None)
-    assert len({make_work_kind(policy, method="PUT", body_bytes=n) for n in lengths}) == 4
+    assert len({make_work_kind(route, method="PUT", body_bytes=n) for n in lengths}) == 4
+
+
+def make_route(mode):
+    policy = RoutePolicy(host="h", service="s")
+    return Route(policy=policy, service=ServicePolicy(placement=mode), section="a")
+
+
+@then("a request of a service that is placed by slots has no kind")
+def step_check_no_kind(context):
+    route = make_route(PlacementMode.SLOTS)
+    assert make_work_kind(route, method="GET", body_bytes=0) is None
 
 
 @given("an agent whose service is placed by work")
@@ -178,7 +190,19 @@
 
 def play_outcomes(mode):
     """Return the load that an agent reports at the end of an attempt of each outcome."""
-    timers, loads = VirtualTimerService(), {}
+    loads = {}
+
+    async def play(agent):
+        for name in ("ok", "wrong", "timeout", "shed"):
+            loads[name] = await run_attempt(agent, name)
+
+    run_agent(mode, play)
+    return loads
+
+
+def run_agent(mode, play):
+    """Run a coroutine function beside an agent with one target."""
+    timers = VirtualTimerService()
 
     async def main():
         agent = make_agent(timers)
@@ -186,17 +210,19 @@
         async with anyio.create_task_group() as group:
             group.start_soon(agent.run)
             agent.inbox.post(UsePolicies(version=1, services={"s": policy}))
-            announcement = Announcement(service="s", address="127.0.0.1:1")
-            await ask(
-                agent.inbox,
-                lambda reply: AnnounceTarget(target="t", announcement=announcement, reply=reply),
-            )
-            for name in ("ok", "wrong", "timeout", "shed"):
-                loads[name] = await run_attempt(agent, name)
+            await announce(agent, started_ms=1)
+            await play(agent)
             group.cancel_scope.cancel()
 
     anyio.run(main, backend_options={"loop_factory": VirtualLoop})
-    return loads
+
+
+async def announce(agent, *, started_ms):
+    announcement = Announcement(service="s", address="127.0.0.1:1", started_ms=started_ms)
+    await ask(
+        agent.inbox,
+        lambda reply: AnnounceTarget(target="t", announcement=announcement, reply=reply),
+    )
 
 
 async def run_attempt(agent, outcome):
@@ -228,6 +254,24 @@
     assert play_outcomes(PlacementMode.SLOTS)["ok"].work is None
 
 
+@when("its target takes longer than expected, and its backend server starts again")
+def step_restart(context):
+    context.paces = []
+
+    async def play(agent):
+        context.paces.append((await run_attempt(agent, "ok")).work.pace)
+        await announce(agent, started_ms=2)
+        context.paces.append((await run_attempt(agent, "shed")).work.pace)
+
+    run_agent(context.mode, play)
+
+
+@then("the target counts as slow before the start, and as usual after it")
+def step_check_restart(context):
+    before, after = context.paces
+    assert before > 1.0 == after, context.paces
+
+
 @given("a target that runs an attempt of 1 s")
 def step_running(context):
     context.target = RemainingWork()
--- a/tests/features/work_placement.feature
+++ b/tests/features/work_placement.feature
@@ -40,6 +40,7 @@
     When requests of 10000 kinds have run
     Then it keeps 256 kinds
     And a method of the caller's own making doesn't make a kind of its own
+    And a request of a service that is placed by slots has no kind
 
   Scenario: Failed and refused attempts say nothing about costs
     Given an agent whose service is placed by work
@@ -47,6 +48,11 @@
     Then only the first of them reports how long it took
     And an agent whose service is placed by slots reports no work
 
+  Scenario: A backend server that starts again has a pace and work of its own
+    Given an agent whose service is placed by work
+    When its target takes longer than expected, and its backend server starts again
+    Then the target counts as slow before the start, and as usual after it
+
   Scenario: An attempt that has run longer than expected is expected to run on
     Given a target that runs an attempt of 1 s
     Then 0.9 s to 1.1 s are left at 0 s, 0.4 s to 0.6 s at 1 s, and 1.5 s to 4 s at 4 s
