--- /dev/null
+++ b/src/samphirespring/process/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas: one limit of a workspace for all routes and all fronts together."""
--- a/src/samphirespring/process/timers.py
+++ b/src/samphirespring/process/timers.py
@@ -32,6 +32,10 @@
     def read_wall_ns(self) -> int:
         """Return wall time in nanoseconds since the Unix epoch."""
 
+    @abstractmethod
+    def read_boottime_s(self) -> float:
+        """Return the time since the host booted in seconds, including time it was suspended."""
+
     @abstractmethod
     async def wait_until(self, due_at_s: float) -> None:
         """Wait until a point in monotonic time.
@@ -103,6 +107,10 @@
         """Return wall time in nanoseconds since the Unix epoch."""
         return time.time_ns()
 
+    def read_boottime_s(self) -> float:
+        """Return the time since the host booted in seconds, including time it was suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     async def wait_until(self, due_at_s: float) -> None:
         """Wait until a point in monotonic time."""
         await anyio.sleep(max(0.0, due_at_s - self.read_now_s()))
@@ -136,6 +144,10 @@
         """Return the manual wall time in nanoseconds."""
         return self._start_wall_ns + round((self._now_s - self._start_s) * 1e9)
 
+    def read_boottime_s(self) -> float:
+        """Return the manual time in seconds."""
+        return self._now_s
+
     async def wait_until(self, due_at_s: float) -> None:
         """Wait until `advance` moves the time to `due_at_s`."""
         if due_at_s <= self._now_s:
--- a/tests/front/virtual_time.py
+++ b/tests/front/virtual_time.py
@@ -37,3 +37,6 @@
 
     def read_wall_ns(self):
         return round(self.read_now_s() * 1e9)
+
+    def read_boottime_s(self):
+        return self.read_now_s()
