Promise the next half second of a quota only, once requests wait for it

Cause: with a queue of 1 s, requests of a workspace far beyond its quota waited 1.25 s at the median and were late. Change: a queue holds the tokens of 0.5 s; one request may wait for a token that is due within 1 s.

--- a/src/samphirespring/process/quota/bucket.py
+++ b/src/samphirespring/process/quota/bucket.py
@@ -1,5 +1,6 @@
 """Token bucket of one workspace, with a queue of requests that were promised the next tokens."""
 
+import math
 from collections import deque
 
 import msgspec
@@ -10,6 +11,10 @@
 """Longest time until a promised token, in seconds; with the time of two asks, less than requests
 wait."""
 
+FULL_QUEUE_S = 0.5
+"""The same if tokens are promised to others already, in seconds: a longer queue would serve no
+more requests, only later ones."""
+
 CLAIM_GRACE_S = 0.5
 """Time after a promised token is due until it is given to others, in seconds."""
 
@@ -127,9 +132,8 @@
         self._settle(now_s)
         rate = self._limit.requests_per_s
         wait_s = max(0.0, self._promised + 1 - self._tokens) / rate
-        count = max(0, min(wanted, 1 + int((LONGEST_QUEUE_S - wait_s) * rate)))
-        if wait_s > LONGEST_QUEUE_S:
-            count = 0
+        longest_s = FULL_QUEUE_S if self._promised > 0 else LONGEST_QUEUE_S
+        count = max(0, min(wanted, math.floor((longest_s - wait_s) * rate) + 1))
         if count > 0:
             due_s = now_s + wait_s + (count - 1) / rate
             self._promises.append(_Promise(count=count, due_s=due_s))
