--- a/src/samphirespring/process/composition/control.py
+++ b/src/samphirespring/process/composition/control.py
@@ -18,6 +18,7 @@
 from samphirespring.connection.link_server import LinkHandler, UnaryHandler, serve_link
 from samphirespring.connection.metrics_http import serve_metrics
 from samphirespring.connection.operator_http import OperatorApp
+from samphirespring.connection.quota_link import ASK_QUOTA
 from samphirespring.connection.registry_link import (
     READ_DEPARTURES,
     RECORD_DEPARTURE,
@@ -36,6 +37,7 @@
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.metrics.metrics_setup import make_metrics
 from samphirespring.process.node_operations_client import NodeOperationsClient
+from samphirespring.process.quota.server import QuotaServer
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry_service import RegistryService
 from samphirespring.process.replication.group_status import GroupOperations
@@ -106,6 +108,14 @@
         self._documents = DocumentService(
             state_machine=document_machine, proposer=self._document_group, timers=timers
         )
+        self._quotas = QuotaServer(
+            state_machine=document_machine,
+            proposer=self._document_group,
+            group=self._document_group,
+            find_link=partial(_find_link, self._document_group),
+            timers=timers,
+            metrics=metrics,
+        )
         self._ledger = LedgerService(
             self._groups,
             own_replica=settings.replica,
@@ -137,6 +147,7 @@
                 group=self._document_group, store=self._document_store, timers=timers
             ),
             self._registry,
+            self._quotas,
             initializer,
             TlsReloader(contexts=tls_store.contexts, timers=timers, metrics=metrics),
             *self._groups.tasks,
@@ -182,6 +193,7 @@
             UnaryHandler(REPORT_HOSTS, self._registry.report),
             UnaryHandler(RECORD_DEPARTURE, self._registry.record_departure),
             UnaryHandler(READ_DEPARTURES, self._registry.read_departures),
+            UnaryHandler(ASK_QUOTA, self._quotas.ask),
             *self._groups.make_handlers(),
             *self._ledger.make_handlers(),
         ]
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -60,6 +60,8 @@
 from samphirespring.process.node_operations import NodeOperations
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
+from samphirespring.process.quota.client import QuotaClient
+from samphirespring.process.quota.offline_allowance import OfflineAllowance
 from samphirespring.process.registry.departure_client import RegistryDepartures
 from samphirespring.process.registry.host_presenter import HostPresenter
 from samphirespring.process.registry.initial_table import InitialTableSearch
@@ -191,6 +193,12 @@
             metrics=metrics,
             generator=generator,
         )
+        quota_client = QuotaClient(
+            control=ControlClient(self._link_pool, control_directory),
+            offline=OfflineAllowance(generator),
+            timers=self._timers,
+            metrics=metrics,
+        )
         traffic_limiter = TrafficLimiter(timers=self._timers, generator=generator)
         self._target_table = target_table = TargetTable(
             NearestOfTwoSelector(generator),
@@ -198,6 +206,7 @@
             timers=self._timers,
             generator=generator,
             traffic_limiter=traffic_limiter.inbox,
+            quotas=quota_client.inbox,
         )
         self._attempt_channel_server = AttemptChannelServer(
             self._attempt_runner, table=target_table.inbox
@@ -241,6 +250,7 @@
                 fencer=LinkAttemptFencer(self._link_pool),
             ),
             runner=action_runner,
+            quotas=quota_client.inbox,
         )
         self._document_store = DocumentStore(timers=self._timers)
         document_saver = DocumentSaver(
@@ -316,6 +326,7 @@
             target_table,
             path_prober,
             traffic_limiter,
+            quota_client,
             self._front,
             action_runner,
             self._registry_client,
--- a/src/samphirespring/process/errors.py
+++ b/src/samphirespring/process/errors.py
@@ -30,6 +30,8 @@
     DEADLINE_EXPIRED = "deadline_expired"
     REFUSED = "refused"
     RATE_LIMITED = "rate_limited"
+    QUOTA_SPENT = "quota_spent"
+    QUOTA_UNAVAILABLE = "quota_unavailable"
     OVERLOADED = "overloaded"
     NODE_STOPPING = "node_stopping"
     ATTEMPT_FAILED = "attempt_failed"
--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractAsyncContextManager, contextmanager
 
 import anyio
 import msgspec
@@ -12,6 +12,7 @@
 from samphirespring.process.logs.request_log import RequestLog
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.metrics.metric_names import Counter, Timing
+from samphirespring.process.quota.client import QuotaMessage
 from samphirespring.process.target_table_messages import UseServicePolicies, UseSubsetSize
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.traffic_limiter import AdmitRequest
@@ -32,7 +33,8 @@
     RequestTimeoutError,
 )
 from samphirespring.request.exchange import Exchange
-from samphirespring.request.limits import find_limits
+from samphirespring.request.limits import find_limits, find_quota
+from samphirespring.request.quota_admission import hold_credit
 from samphirespring.request.split import SplitSequence
 from samphirespring.request.states import Outcome
 from samphirespring.version.ids import DocumentVersion
@@ -81,15 +83,22 @@
         context: Dependencies shared by all exchanges.
         actions: Dependencies shared by all actions.
         runner: Runs actions.
+        quotas: Inbox of the task that owns the credit of workspaces; None applies no quotas.
     """
 
     def __init__(
-        self, context: ExchangeContext, *, actions: ActionContext, runner: ActionRunner
+        self,
+        context: ExchangeContext,
+        *,
+        actions: ActionContext,
+        runner: ActionRunner,
+        quotas: Mailbox[QuotaMessage] | None = None,
     ) -> None:
         self.inbox: Mailbox[FrontMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._context = context
         self._actions = actions
         self._runner = runner
+        self._quotas = quotas
         self._compiled: CompiledDocument | None = None
         self._request_log = RequestLog(context.timers)
         self._splits = SplitSequence(context.generator)
@@ -164,15 +173,22 @@
                 document_version=compiled.version,
                 writer=writer,
             )
-            await self._run_exchange(exchange, request, route)
+            await self._run_exchange(exchange, request, route, compiled)
 
-    async def _run_exchange(self, exchange: Exchange, request: CallerRequest, route: Route) -> None:
+    async def _run_exchange(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        route: Route,
+        compiled: CompiledDocument,
+    ) -> None:
         started_at_s = self._context.timers.read_now_s()
         end = "left"
         try:
             self._requests.check_open()
             with self._requests.track() as scope:
-                await exchange.run()
+                async with self._hold_credit(request, route, compiled):
+                    await exchange.run()
                 end = "answered"
             if scope.cancelled_caught:
                 raise exchange.make_stop_error()
@@ -220,12 +236,30 @@
         with account_for_earlier_requests(keyed=True):
             self._requests.check_open()
         with self._requests.track() as scope:
-            await self._runner.serve(exchange)
+            async with self._hold_credit(request, route, compiled, keyed=True):
+                await self._runner.serve(exchange)
         if scope.cancelled_caught:
             raise NodeStoppingError(
                 "the node stopped while the action ran", outcome=Outcome.UNKNOWN
             )
 
+    def _hold_credit(
+        self,
+        request: CallerRequest,
+        route: Route,
+        compiled: CompiledDocument,
+        *,
+        keyed: bool = False,
+    ) -> AbstractAsyncContextManager[None]:
+        route_ms = route.policy.deadline_ms
+        return hold_credit(
+            self._quotas,
+            workspace=request.workspace,
+            terms=find_quota(compiled, request=request),
+            remaining_ms=min(route_ms, request.deadline_ms or route_ms),
+            keyed=keyed,
+        )
+
     async def _end_requests(self, at_s: float) -> None:
         await self._context.timers.wait_until(at_s)
         self._requests.end_all()
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -29,6 +29,13 @@
     REQUEST_LINES_OMITTED = "request_lines_omitted"
     CONTROL_CALL_FAILED = "control_call_failed"
 
+    # Quotas.
+    QUOTA_SPENT = "quota_spent"
+    QUOTA_AVAILABLE = "quota_available"
+    QUOTA_CONTROL_LOST = "quota_control_lost"
+    QUOTA_CONTROL_REACHABLE = "quota_control_reachable"
+    QUOTA_LEADERSHIP_STARTED = "quota_lead_started"
+
     # Targets and paths.
     TARGET_CONDITION_CHANGED = "target_condition_changed"
     TARGET_PROBE_CHANGED = "target_probe_changed"
--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -28,6 +28,12 @@
     FRONT_RETRY_BUDGET_SPENT = "front.retry_budget_spent"
     FRONT_PATHS_LOST = "front.paths_lost"
 
+    # Quotas.
+    QUOTA_GRANTED = "quota.granted"
+    QUOTA_REFUSED = "quota.refused.CAUSE"
+    QUOTA_OFFLINE = "quota.offline"
+    QUOTA_ALLOCATED = "quota.allocated"
+
     # Links.
     LINK_BYTES_SENT = "link.TRAFFIC.bytes_sent"
     LINK_BYTES_RECEIVED = "link.TRAFFIC.bytes_received"
--- a/src/samphirespring/process/quota/accounts.py
+++ b/src/samphirespring/process/quota/accounts.py
@@ -205,11 +205,12 @@
                 account.refused = 0
         return changes
 
-    def find_next_due(self, now_s: float) -> float:
+    def find_next_due(self, now_s: float, *, may_ask: bool = True) -> float:
         """Return when `settle_due` or `take_asks` has to be called next without an event.
 
         Args:
             now_s: Time, in seconds.
+            may_ask: Whether `take_asks` may be called before another event.
 
         Returns:
             The time in seconds; infinity if there is nothing to wait for.
@@ -220,7 +221,7 @@
         for account in self._accounts.values():
             if account.waiting_count:
                 due_s = min(due_s, account.find_next_give_up(is_lost=self.is_lost))
-                due_s = min(due_s, self._find_ask_time(account))
+                due_s = min(due_s, self._find_ask_time(account) if may_ask else math.inf)
         return max(due_s, now_s)
 
     def _decide_at_once(
@@ -241,7 +242,7 @@
         if not self._offline.acquire(account.workspace, account.terms, now_s=now_s):
             return None
         self.offline_passed += 1
-        return QuotaCredit(workspace=account.workspace, returnable_until_s=now_s)
+        return QuotaCredit(workspace=account.workspace, returnable_until_s=now_s, is_offline=True)
 
     def _pass_waiting(self, now_s: float) -> list[SettledTicket[TicketT]]:
         settled: list[SettledTicket[TicketT]] = []
--- a/src/samphirespring/process/quota/credit.py
+++ b/src/samphirespring/process/quota/credit.py
@@ -17,10 +17,12 @@
     Attributes:
         workspace: The workspace.
         returnable_until_s: Time until which it may be given back, in seconds since the host booted.
+        is_offline: Whether the front let the request pass without asking.
     """
 
     workspace: WorkspaceId
     returnable_until_s: float
+    is_offline: bool = False
 
 
 class RefusalCause(Enum):
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -24,6 +24,7 @@
     make_key_list,
     make_single_part_list,
 )
+from samphirespring.process.quota.client import QuotaMessage
 from samphirespring.process.registry.held_hosts import HeldHosts
 from samphirespring.process.registry.record_check import find_problem, select_valid
 from samphirespring.process.service_pool import ServicePool
@@ -75,6 +76,7 @@
         timers: The timer service.
         generator: Source of random numbers.
         traffic_limiter: Receives the number of fronts; None if unused.
+        quotas: Receives the number of fronts, too; None if unused.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         timers: TimerService,
         generator: random.Random | None = None,
         traffic_limiter: Mailbox[TrafficMessage] | None = None,
+        quotas: Mailbox[QuotaMessage] | None = None,
     ) -> None:
         self.inbox: Mailbox[TableMessage] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
         self._selector = selector
@@ -97,6 +100,7 @@
         self._region_hosts: set[HostId] = {locality.host}
         self._timers = timers
         self._traffic_limiter = traffic_limiter
+        self._quotas = quotas
         self._subset_size = FleetSection().subset_size
         self._advice = TargetAdvice(generator or random.Random())
         self._risk_selector = RiskSelector(generator or random.Random())
@@ -333,9 +337,16 @@
         self._version = delta.version
         if self._region_hosts != hosts_before:
             self._reset_subsets()
-        if self._traffic_limiter is not None and len(self._hosts) != count_before:
-            # Each host runs a front.
-            self._traffic_limiter.post_always(UseFrontCount(count=len(self._hosts)))
+        if len(self._hosts) != count_before:
+            self._report_front_count()
+
+    def _report_front_count(self) -> None:
+        # Each host runs a front.
+        count = UseFrontCount(count=len(self._hosts))
+        if self._traffic_limiter is not None:
+            self._traffic_limiter.post_always(count)
+        if self._quotas is not None:
+            self._quotas.post_always(count)
 
     def _use_presented(self, record: HostRecord) -> None:
         """Apply a newer record of a host that the registry has; only it adds and removes hosts."""
--- a/src/samphirespring/request/errors.py
+++ b/src/samphirespring/request/errors.py
@@ -98,6 +98,20 @@
     status = 429
 
 
+class QuotaSpentError(RequestError):
+    """The workspace is at its quota, which applies to all fronts together."""
+
+    code = ErrorCode.QUOTA_SPENT
+    status = 429
+
+
+class QuotaUnavailableError(RequestError):
+    """No control host granted or refused credit for the workspace's quota in time."""
+
+    code = ErrorCode.QUOTA_UNAVAILABLE
+    status = 429
+
+
 class OverloadedError(RequestError):
     """The front already serves its maximum number of concurrent requests."""
 
--- a/src/samphirespring/request/limits.py
+++ b/src/samphirespring/request/limits.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from samphirespring.process.quota.terms import QuotaTerms, make_terms
 from samphirespring.request.caller import CallerRequest
 from samphirespring.version.document import RateLimit
 from samphirespring.version.ids import NO_WORKSPACE
@@ -50,6 +51,19 @@
     )
 
 
+def find_quota(compiled: CompiledDocument, *, request: CallerRequest) -> QuotaTerms | None:
+    """Return the quota that applies to a request, or None if its workspace has none.
+
+    Args:
+        compiled: The document.
+        request: The request.
+    """
+    workspace = compiled.find_workspace(request.workspace)
+    if workspace is None or workspace.quota is None:
+        return None
+    return make_terms(workspace.quota, compiled.fleet)
+
+
 def _name_bucket(request: CallerRequest) -> str:
     if request.workspace != NO_WORKSPACE:
         return request.workspace
