Use 0.4 of a quota's allowance as headroom of its bucket

Change: the bucket's burst grows by 0.4 of the allowance; credit ahead and fronts without control have 0.3 each.

--- a/src/samphirespring/process/quota/allocator.py
+++ b/src/samphirespring/process/quota/allocator.py
@@ -6,8 +6,7 @@
 from samphirespring.process.ids import Term
 from samphirespring.process.quota.asks import WorkspaceAsk, WorkspaceGrant
 from samphirespring.process.quota.bucket import QuotaBucket
-from samphirespring.process.quota.terms import LONGEST_CREDIT_S
-from samphirespring.version.document import RateLimit
+from samphirespring.process.quota.terms import LONGEST_CREDIT_S, QuotaTerms
 from samphirespring.version.ids import WorkspaceId
 
 
@@ -18,7 +17,7 @@
     """
 
     def __init__(self) -> None:
-        self._quotas: Mapping[WorkspaceId, RateLimit] = {}
+        self._quotas: Mapping[WorkspaceId, QuotaTerms] = {}
         self._buckets: dict[WorkspaceId, QuotaBucket] = {}
         self._term: Term | None = None
         self._started_at_s = 0.0
@@ -49,17 +48,17 @@
         """
         return max(0.0, self._started_at_s + LONGEST_CREDIT_S - now_s)
 
-    def use_quotas(self, quotas: Mapping[WorkspaceId, RateLimit], *, now_s: float) -> None:
+    def use_quotas(self, quotas: Mapping[WorkspaceId, QuotaTerms], *, now_s: float) -> None:
         """Apply the quotas of a document; nobody gets tokens by a change.
 
         Args:
-            quotas: All quotas by workspace; later changes of the mapping have no effect here.
+            quotas: The terms of all quotas by workspace; the mapping is copied.
             now_s: Time, in seconds.
         """
         for workspace, bucket in self._buckets.items():
-            limit = quotas.get(workspace)
-            if limit is not None and limit != bucket.limit:
-                bucket.use_limit(limit, now_s=now_s)
+            terms = quotas.get(workspace)
+            if terms is not None:
+                bucket.use_limit(terms.bucket_limit, now_s=now_s)
         if self._quotas:
             self._add_empty_buckets(quotas, now_s)
         self._quotas = dict(quotas)
@@ -92,10 +91,12 @@
         for workspace in full:
             del self._buckets[workspace]
 
-    def _add_empty_buckets(self, quotas: Mapping[WorkspaceId, RateLimit], now_s: float) -> None:
+    def _add_empty_buckets(self, quotas: Mapping[WorkspaceId, QuotaTerms], now_s: float) -> None:
         added = quotas.keys() - self._quotas.keys() - self._buckets.keys()
         for workspace in added:
-            self._buckets[workspace] = QuotaBucket(quotas[workspace], tokens=0.0, now_s=now_s)
+            self._buckets[workspace] = QuotaBucket(
+                quotas[workspace].bucket_limit, tokens=0.0, now_s=now_s
+            )
 
     def _put_back(self, ask: WorkspaceAsk, now_s: float) -> None:
         bucket = self._find_bucket(ask.workspace, now_s)
@@ -124,12 +125,13 @@
 
     def _find_bucket(self, workspace: WorkspaceId, now_s: float) -> QuotaBucket | None:
         """Return the bucket of a workspace, or None if it has no quota."""
-        limit = self._quotas.get(workspace)
-        if limit is None:
+        terms = self._quotas.get(workspace)
+        if terms is None:
             return None
         bucket = self._buckets.get(workspace)
         if bucket is None:
             # A bucket that isn't kept has been filling since the start of the leadership.
+            limit = terms.bucket_limit
             tokens = (now_s - self._started_at_s) * limit.requests_per_s
             bucket = QuotaBucket(limit, tokens=tokens, now_s=now_s)
             self._buckets[workspace] = bucket
--- a/src/samphirespring/process/quota/bucket.py
+++ b/src/samphirespring/process/quota/bucket.py
@@ -59,11 +59,6 @@
         self._promises: deque[_Promise] = deque()
         self._promised = 0
 
-    @property
-    def limit(self) -> RateLimit:
-        """Rate and size of the bucket."""
-        return self._limit
-
     def is_full(self, now_s: float) -> bool:
         """Return whether no token is lacking.
 
@@ -80,6 +75,8 @@
             limit: The new limit.
             now_s: Time, in seconds.
         """
+        if limit == self._limit:
+            return
         self._settle(now_s)
         self._limit = limit
         self._tokens = min(self._tokens, float(limit.burst))
--- a/src/samphirespring/process/quota/quota_reader.py
+++ b/src/samphirespring/process/quota/quota_reader.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from samphirespring.version.document import RateLimit
+from samphirespring.process.quota.terms import QuotaTerms, make_terms
+from samphirespring.version.document import FLEET_SECTION, FleetSection, RateLimit
 from samphirespring.version.ids import SectionName, WorkspaceId
 from samphirespring.version.section_set import SectionSet, StoredSection
 
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self._sections: dict[SectionName, StoredSection] = {}
         self._quotas: dict[SectionName, dict[WorkspaceId, RateLimit]] = {}
+        self._fleet = FleetSection()
 
     def read_steps(self, sections: SectionSet) -> Iterator[None]:
         """Read the quotas in steps of one section each.
@@ -37,22 +39,25 @@
         for name, section in sections.sections.items():
             known = self._sections.get(name)
             if known is None or known.digest != section.digest:
-                self._quotas[name] = _read_section(section)
+                self._read_section(name, section)
                 yield
             self._sections[name] = section
 
-    def list_quotas(self) -> dict[WorkspaceId, RateLimit]:
-        """Return all quotas by workspace."""
-        found: dict[WorkspaceId, RateLimit] = {}
-        for quotas in self._quotas.values():
-            found.update(quotas)
-        return found
-
-
-def _read_section(section: StoredSection) -> dict[WorkspaceId, RateLimit]:
-    decoded = msgspec.json.decode(section.read_text(), type=_SectionQuotas)
-    return {
-        workspace: policy.quota
-        for workspace, policy in decoded.workspaces.items()
-        if policy.quota is not None
-    }
+    def list_terms(self) -> dict[WorkspaceId, QuotaTerms]:
+        """Return the terms of all quotas by workspace."""
+        return {
+            workspace: make_terms(quota, self._fleet)
+            for quotas in self._quotas.values()
+            for workspace, quota in quotas.items()
+        }
+
+    def _read_section(self, name: SectionName, section: StoredSection) -> None:
+        text = section.read_text()
+        if name == FLEET_SECTION:
+            self._fleet = msgspec.json.decode(text, type=FleetSection)
+        decoded = msgspec.json.decode(text, type=_SectionQuotas)
+        self._quotas[name] = {
+            workspace: policy.quota
+            for workspace, policy in decoded.workspaces.items()
+            if policy.quota is not None
+        }
--- a/src/samphirespring/process/quota/server.py
+++ b/src/samphirespring/process/quota/server.py
@@ -179,7 +179,7 @@
             return
         for _ in self._reader.read_steps(sections):
             await anyio.lowlevel.checkpoint()
-        quotas = self._reader.list_quotas()
+        quotas = self._reader.list_terms()
         self._allocator.use_quotas(quotas, now_s=self._timers.read_boottime_s())
         self._quota_count = len(quotas)
         self._sections = sections
--- a/src/samphirespring/process/quota/terms.py
+++ b/src/samphirespring/process/quota/terms.py
@@ -7,9 +7,14 @@
 LONGEST_CREDIT_S = 1.0
 """Longest time from a front's ask until credit is used that the reply grants, in seconds."""
 
-AHEAD_SHARE = 0.5
+HEADROOM_SHARE = 0.4
+"""Share of the allowance that is added to the burst, so that fewer requests are refused."""
+
+AHEAD_SHARE = 0.3
 """Share of the allowance for credit granted ahead; fronts that can't ask use the rest."""
 
+OFFLINE_SHARE = 1.0 - HEADROOM_SHARE - AHEAD_SHARE
+
 
 class QuotaTerms(msgspec.Struct, frozen=True, kw_only=True):
     """A quota with the bounds that apply to it.
@@ -24,6 +29,14 @@
     allowance: float
     window_s: float
 
+    @property
+    def bucket_limit(self) -> RateLimit:
+        """Rate and size of the bucket that credit is granted out of."""
+        headroom = int(self.allowance * HEADROOM_SHARE)
+        return RateLimit(
+            requests_per_s=self.limit.requests_per_s, burst=self.limit.burst + headroom
+        )
+
     @property
     def span_s(self) -> float:
         """Time from a front's ask until credit that was granted ahead ends, in seconds.
@@ -36,7 +49,7 @@
     @property
     def offline_requests(self) -> float:
         """Requests in a window by which all fronts together may exceed the quota without asking."""
-        return self.allowance * (1.0 - AHEAD_SHARE)
+        return self.allowance * OFFLINE_SHARE
 
 
 def make_terms(quota: RateLimit, fleet: FleetSection) -> QuotaTerms:
