--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -63,6 +63,8 @@
 from samphirespring.process.node_operations import NodeOperations
 from samphirespring.process.node_readiness import NodeReadiness
 from samphirespring.process.path_prober import PathProber
+from samphirespring.process.quota.client import QuotaClient
+from samphirespring.process.quota.offline_allowance import OfflineAllowance
 from samphirespring.process.registry.departure_client import RegistryDepartures
 from samphirespring.process.registry.host_presenter import HostPresenter
 from samphirespring.process.registry.initial_table import InitialTableSearch
@@ -172,6 +174,12 @@
         self._control_directory = control_directory = ControlDirectory(settings.control_links)
         control_client = ControlClient(self._link_pool, control_directory)
         link_address = settings.link_advertised or settings.link_listen
+        quota_client = QuotaClient(
+            control=ControlClient(self._link_pool, control_directory),
+            offline=OfflineAllowance(generator),
+            timers=self._timers,
+            metrics=metrics,
+        )
         traffic_limiter = TrafficLimiter(timers=self._timers, generator=generator)
         self._target_table = target_table = TargetTable(
             NearestOfTwoSelector(generator),
@@ -179,6 +187,7 @@
             timers=self._timers,
             generator=generator,
             traffic_limiter=traffic_limiter.inbox,
+            quotas=quota_client.inbox,
         )
         self._key_keeper = key_keeper = KeyKeeper(
             chooser=ConfirmerChooser(domain=locality.failure_domain, own_host=locality.host),
@@ -256,6 +265,7 @@
             ),
             runner=action_runner,
             keys=key_keeper,
+            quotas=quota_client.inbox,
         )
         self._document_store = DocumentStore(timers=self._timers)
         document_saver = DocumentSaver(
@@ -333,6 +343,7 @@
             target_table,
             path_prober,
             traffic_limiter,
+            quota_client,
             self._front,
             action_runner,
             self._registry_client,
