--- a/src/samphirespring/connection/http_protocol.py
+++ b/src/samphirespring/connection/http_protocol.py
@@ -50,7 +50,7 @@
 SLICE_BYTES = 4_096
 """Most bytes that are parsed at once: the parser can't stop after a request."""
 
-CONNECTION_BYTES = 16_384
+CONNECTION_BYTES = 10_240
 """Memory of a connection without a request, in bytes."""
 
 TLS_BYTES = 327_680
@@ -153,7 +153,6 @@
         self._backlog = b""
         """Received bytes that aren't parsed."""
 
-        self._is_parsing = False
         self._costs: deque[int] = deque()
         """Memory of the request that is served and of those in the queue, in bytes."""
 
@@ -214,9 +213,6 @@
 
     def _parse_backlog(self) -> None:
         """Parse received bytes until enough requests wait."""
-        if self._is_parsing:
-            return
-        self._is_parsing = True
         position = 0
         while position < len(self._backlog) and len(self.pipeline) < QUEUED_REQUESTS:
             self._parse(self._backlog[position : position + SLICE_BYTES])
@@ -224,7 +220,6 @@
             if self._discards:
                 position = len(self._backlog)
         self._backlog = self._backlog[position:]
-        self._is_parsing = False
         if self._is_full():
             self.flow.pause_reading()
 
--- a/src/samphirespring/process/caller_budget.py
+++ b/src/samphirespring/process/caller_budget.py
@@ -16,6 +16,10 @@
 PAUSE_SHARE = 0.4
 """Share of the budget above which connections that hold more than their part aren't read."""
 
+MIN_PART_BYTES = 65_536
+"""Memory that a connection may hold in any case before it is paused, in bytes, so that many idle
+connections don't hold up a short body."""
+
 END_SHARE = 0.6
 """Share of the budget above which connections are ended; the rest is left for requests without a
 body, and for what was received in the same turn."""
@@ -278,7 +282,7 @@
             return
         if account.holding.state is not HolderState.RECEIVING:
             return
-        if account.holding.size_bytes <= self._pause_bytes / self._staying:
+        if account.holding.size_bytes <= max(self._pause_bytes / self._staying, MIN_PART_BYTES):
             return
         account.paused_at_s = self._read_now_s()
         self._paused.add(account)
