Who sends ahead while a request is served is paused and ended, too; a few at once over the limit

Cause: a connection whose request is served was never ended, and could hold eight queued heads and a body behind it; idle connections of the last moment went before bodies that fill the budget; and each connection over the limit searched all others (read from the code, no run). Change: the state AHEAD is paused and ended like an unfinished request; 64 KiB of queued requests stop the parser; connections idle for less than 2 s go last; a 32nd of the limit ends at once.

--- a/src/samphirespring/connection/http_protocol.py
+++ b/src/samphirespring/connection/http_protocol.py
@@ -40,6 +40,9 @@
 QUEUED_REQUESTS = 8
 """Requests sent ahead on one connection that wait as objects; further ones wait as bytes."""
 
+QUEUED_BYTES = 65_536
+"""Memory of such objects, and of the request before them, from which further ones wait as bytes."""
+
 BACKLOG_BYTES = 16_384
 """Bytes of further requests that wait before the connection isn't read any more."""
 
@@ -209,12 +212,22 @@
 
     def _is_full(self) -> bool:
         """Whether enough was received of what is sent ahead."""
-        return len(self.pipeline) >= QUEUED_REQUESTS and len(self._backlog) >= BACKLOG_BYTES
+        return self._is_queue_full() and len(self._backlog) >= BACKLOG_BYTES
+
+    def _is_queue_full(self) -> bool:
+        """Whether enough requests wait, or enough bytes of them."""
+        if not self.pipeline:
+            return False
+        return len(self.pipeline) >= QUEUED_REQUESTS or self._count_queue() >= QUEUED_BYTES
+
+    def _count_queue(self) -> int:
+        """Return the memory of the request that is served and of those that wait, in bytes."""
+        return sum(self._costs) + sum(len(cycle.body) for cycle, _ in self.pipeline)
 
     def _parse_backlog(self) -> None:
         """Parse received bytes until enough requests wait."""
         position = 0
-        while position < len(self._backlog) and len(self.pipeline) < QUEUED_REQUESTS:
+        while position < len(self._backlog) and not self._is_queue_full():
             self._parse(self._backlog[position : position + SLICE_BYTES])
             position += SLICE_BYTES
             if self._discards:
@@ -296,8 +309,7 @@
         """Return what the connection holds for its client."""
         unread_bytes = self.transport.get_write_buffer_size()
         size_bytes = self._base_bytes + len(self._backlog) + unread_bytes
-        size_bytes += HEAD_FACTOR * self._guard.size_bytes + sum(self._costs)
-        size_bytes += sum(len(cycle.body) for cycle, _ in self.pipeline)
+        size_bytes += HEAD_FACTOR * self._guard.size_bytes + self._count_queue()
         if self.flow.read_paused:
             size_bytes += WINDOW_BYTES
         state = HolderState.RECEIVING if self._guard.expects_head else HolderState.IDLE
@@ -314,6 +326,8 @@
         # A body that its target reads slowly isn't waited for.
         if running.more_body and len(running.body) <= HIGH_WATER_LIMIT:
             return HolderState.RECEIVING
+        if self.pipeline or self._backlog or self._guard.expects_head:
+            return HolderState.AHEAD
         return HolderState.SERVING
 
     def pause(self) -> None:
--- a/src/samphirespring/process/caller_budget.py
+++ b/src/samphirespring/process/caller_budget.py
@@ -8,7 +8,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 
 import msgspec
@@ -34,19 +34,33 @@
 RELIEF_INTERVAL_S = 0.05
 """Shortest time between two searches that requests which are already being served cause."""
 
+CONNECTIONS_RELIEF = 32
+"""Divisor of the limit on connections: so many are ended at once when it is exceeded, as a search
+for each new connection would take long."""
+
 PAUSED_LIMIT_S = 1.0
 """Time for which a connection may hold its part unread while memory stays short, in seconds."""
 
 
 class HolderState(Enum):
-    """What a connection does with the memory that it holds."""
+    """What a connection does with the memory that it holds.
+
+    IDLE is between two requests, RECEIVING in a request that isn't complete. A complete one is
+    being served in SERVING and AHEAD; in AHEAD more was sent behind it. UNREAD has bytes that the
+    caller hasn't read.
+    """
 
     IDLE = "idle"
     RECEIVING = "receiving"
+    AHEAD = "ahead"
     SERVING = "serving"
     UNREAD = "unread"
 
 
+GROWING_STATES = frozenset({HolderState.RECEIVING, HolderState.AHEAD})
+"""States in which a connection holds more the more its caller sends."""
+
+
 class EndReason(Enum):
     """Why the budget ends a connection."""
 
@@ -190,7 +204,7 @@
         self._staying += 1
         self._staying_bytes += account.holding.size_bytes
         if self._staying > self._limits.connections:
-            self._end_connections(self._staying - self._limits.connections, newcomer=account)
+            self._end_connections(newcomer=account)
         if len(self._accounts) > self._limits.connections:
             self._cut_ending(len(self._accounts) - self._limits.connections)
         self._relieve(account.holding.state)
@@ -280,7 +294,7 @@
     def _pause_if_over_share(self, account: Account) -> None:
         if self._staying_bytes <= self._pause_bytes or account.paused_at_s is not None:
             return
-        if account.holding.state is not HolderState.RECEIVING:
+        if account.holding.state not in GROWING_STATES:
             return
         if account.holding.size_bytes <= max(self._pause_bytes / self._staying, MIN_PART_BYTES):
             return
@@ -302,24 +316,16 @@
         """End connections if the budget is short.
 
         Args:
-            cause: State of the connection that grew. One that receives can be ended itself, so that
-                the search always finds some; for others it may find none, and is repeated rarely.
+            cause: State of the connection that grew. If that can be ended itself, the search always
+                finds one; otherwise it may find none, and is repeated rarely.
         """
         if self._staying_bytes <= self._end_bytes:
             return
         now_s = self._read_now_s()
-        if cause is not HolderState.RECEIVING and now_s - self._relieved_at_s < RELIEF_INTERVAL_S:
+        if cause not in GROWING_STATES and now_s - self._relieved_at_s < RELIEF_INTERVAL_S:
             return
         self._relieved_at_s = now_s
-        self._end_until(
-            self._end_bytes * RELIEF_SHARE,
-            (
-                *self._find_still(now_s),
-                *self._find_paused(now_s, after_s=0.0),
-                *self._find_idle(now_s),
-                *self._find_receiving(),
-            ),
-        )
+        self._end_until(self._end_bytes * RELIEF_SHARE, self._iterate_candidates(now_s))
         self._end_until(self._limits.held_bytes, self._find_unread())
 
     def _end_until(self, target_bytes: float, chosen: Iterable[tuple[Account, EndReason]]) -> None:
@@ -329,22 +335,25 @@
             if not account.is_ending:
                 self._end(account, reason)
 
-    def _end_connections(self, count: int, *, newcomer: Account) -> None:
-        now_s = self._read_now_s()
-        candidates = (
-            *self._find_still(now_s),
-            *self._find_idle(now_s),
-            *self._find_paused(now_s, after_s=0.0),
-            *self._find_receiving(),
-        )
-        ended = 0
-        for account, reason in candidates:
-            if ended == count:
+    def _iterate_candidates(self, now_s: float) -> Iterator[tuple[Account, EndReason]]:
+        """Yield connections in the order in which they are ended; a group is found when needed."""
+        yield from self._find_still(now_s)
+        yield from self._find_paused(now_s, after_s=0.0)
+        yield from self._find_idle(now_s, after_s=STALL_S)
+        yield from self._find_growing()
+        yield from self._find_idle(now_s, after_s=0.0)
+
+    def _end_connections(self, *, newcomer: Account) -> None:
+        """End some connections because there are too many, and the newest if no other can be."""
+        count = max(1, self._limits.connections // CONNECTIONS_RELIEF)
+        for account, reason in self._iterate_candidates(self._read_now_s()):
+            if account is newcomer or account.is_ending:
+                continue
+            self._end(account, reason)
+            count -= 1
+            if count == 0:
                 return
-            if account is not newcomer and not account.is_ending:
-                self._end(account, reason)
-                ended += 1
-        if ended < count:
+        if self._staying > self._limits.connections:
             self._end(newcomer, EndReason.IDLE)
 
     def _cut_ending(self, count: int) -> None:
@@ -387,16 +396,20 @@
         ]
         return [(account, EndReason.OVER_SHARE) for account in _sort_by_size(paused)]
 
-    def _find_idle(self, now_s: float) -> list[tuple[Account, EndReason]]:
+    def _find_idle(self, now_s: float, *, after_s: float) -> list[tuple[Account, EndReason]]:
         """Return connections between two requests, those last used longest ago first."""
-        idle = [a for a in self._accounts if a.holding.state is HolderState.IDLE]
+        idle = [
+            a
+            for a in self._accounts
+            if a.holding.state is HolderState.IDLE and now_s - a.progressed_at_s >= after_s
+        ]
         idle.sort(key=lambda account: account.progressed_at_s)
         return [(account, EndReason.IDLE) for account in idle]
 
-    def _find_receiving(self) -> list[tuple[Account, EndReason]]:
-        """Return connections whose request isn't complete, though it makes progress."""
-        receiving = [a for a in self._accounts if a.holding.state is HolderState.RECEIVING]
-        return [(account, EndReason.LARGEST) for account in _sort_by_size(receiving)]
+    def _find_growing(self) -> list[tuple[Account, EndReason]]:
+        """Return connections that send a request, though they make progress."""
+        growing = [a for a in self._accounts if a.holding.state in GROWING_STATES]
+        return [(account, EndReason.LARGEST) for account in _sort_by_size(growing)]
 
     def _find_unread(self) -> list[tuple[Account, EndReason]]:
         unread = [a for a in self._unread if a.holding.state is HolderState.UNREAD]
