--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -33,6 +33,9 @@
     QUOTA_REFUSED = "quota.refused.CAUSE"
     QUOTA_OFFLINE = "quota.offline"
     QUOTA_ALLOCATED = "quota.allocated"
+    # Callers' connections.
+    CALLERS_PAUSED = "callers.paused"
+    CALLERS_ENDED = "callers.ended.REASON"
 
     # Links.
     LINK_BYTES_SENT = "link.TRAFFIC.bytes_sent"
@@ -82,6 +85,8 @@
 class Gauge(Enum):
     """Gauges; upper-case words in a name are placeholders for label values."""
 
+    CALLERS_HELD_BYTES = "callers.held_bytes"
+    CALLERS_CONNECTIONS = "callers.connections"
     AGENT_QUEUE_WAITING = "agent.queue.waiting"
     AGENT_SLOTS = "agent.slots.all"
     AGENT_SLOTS_USED = "agent.slots.used"
