--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -38,9 +38,10 @@
 """Cost of a target at which the request is expected to take just the time of its aim. Being late
 grows likely only near the aim, so the cost grows with the square of the expected time."""
 
-CROWD_COST = 0.15
-"""Cost of a target with all slots in use, for requests placed by work. Targets slow down when they
-are nearly full, so the cost grows with the square of the share of slots in use."""
+CROWD_COST = 0.06
+"""Cost of a target as the share of its slots in use nears 1, for requests placed by work. Targets
+slow down when they are nearly full, so it grows with the square of that share. Only for the last
+slot it is more than the cost of another failure domain, traffic to which is dear."""
 
 MAX_LATENESS = 2.0
 """Ratio of the expected time to the aim from which the cost doesn't grow."""
