Refuse a key as unknown only where the document is known to be the newest

Cause: a node that started with the document on its disk, or whose document lagged behind, answered 401 for a key that a newer version had added, however long ago; a key that moved to another workspace was refused with 401 while front and agent had different versions, although both versions allow it. Change: KeyGate.may_reject_keys: the lease is valid and no confirmation names a newer version. Otherwise the front answers 503 key_lease_expired (not run, Retry-After). An agent whose document names another holder of the key refuses as stale_document, which another target may run, in place of api_key_unknown. Conclusion: within a lease a 401 comes from a version that no confirmation has shown to be old.

--- a/src/samphirespring/process/front.py
+++ b/src/samphirespring/process/front.py
@@ -24,6 +24,7 @@
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.earlier_requests import account_for_earlier_requests
 from samphirespring.request.errors import (
+    ApiKeyUnknownError,
     KeyLeaseExpiredError,
     NodeStoppingError,
     NoDocumentError,
@@ -159,8 +160,7 @@
             route = route.choose_part(self._splits.draw(name))
         with self._count_in_flight():
             with account_for_earlier_requests(keyed=keyed and not route.policy.idempotent):
-                request = authenticate(request, route=route, compiled=compiled)
-                self._check_key_lease(request)
+                request = self._authenticate(request, route, compiled)
             with account_for_earlier_requests(keyed=keyed and not route.policy.idempotent):
                 await self._check_limits(request, route, compiled)
             if not route.policy.idempotent:
@@ -242,17 +242,28 @@
         await self._context.timers.wait_until(at_s)
         self._requests.end_all()
 
-    def _check_key_lease(self, request: CallerRequest) -> None:
-        """Refuse a request with a key early if no host of this kind may run it.
+    def _authenticate(
+        self, request: CallerRequest, route: Route, compiled: CompiledDocument
+    ) -> CallerRequest:
+        """Return a request of the workspace that holds its key; refuse others early.
+
+        A host that started with a saved document, or whose document lags behind, can't tell a key
+        that was added meanwhile from one that nobody holds. The agent checks again when the request
+        leaves for its target.
 
-        The agent checks again when the request leaves for its target.
+        Raises:
+            ApiKeyUnknownError: No workspace holds the key.
+            KeyLeaseExpiredError: This node can't tell whether one does.
         """
-        if request.api_key is None or self._keys is None or self._keys.may_use_keys():
-            return
-        raise KeyLeaseExpiredError(
-            "this node has had no contact with control hosts for too long to accept API keys",
-            retry_after_s=KEY_LEASE_RETRY_AFTER_S,
-        )
+        try:
+            authenticated = authenticate(request, route=route, compiled=compiled)
+        except ApiKeyUnknownError:
+            if self._keys is None or self._keys.may_reject_keys():
+                raise
+            raise _make_lease_error() from None
+        if authenticated.api_key is None or self._keys is None or self._keys.may_use_keys():
+            return authenticated
+        raise _make_lease_error()
 
     async def _check_limits(
         self, request: CallerRequest, route: Route, compiled: CompiledDocument
@@ -306,3 +317,11 @@
             metrics.record_duration(Timing.FRONT_REQUEST_DURATION, duration_s)
             self._in_flight -= 1
             self._served += 1
+
+
+def _make_lease_error() -> KeyLeaseExpiredError:
+    return KeyLeaseExpiredError(
+        "this node can't tell whether the API key is valid: its document isn't confirmed as the"
+        " newest",
+        retry_after_s=KEY_LEASE_RETRY_AFTER_S,
+    )
--- a/src/samphirespring/process/keys/keeper.py
+++ b/src/samphirespring/process/keys/keeper.py
@@ -153,6 +153,10 @@
         """Return whether the host's document may be relied on for API keys now."""
         return self._lease.is_valid(self._timers.read_boot_s())
 
+    def may_reject_keys(self) -> bool:
+        """Return whether a key that the host's document doesn't have is proven to be unknown."""
+        return self._lease.proves_newest(self._timers.read_boot_s())
+
     def check(self, request: AttemptRequest) -> RefusalCode | None:
         """Return why an attempt must not be sent to its target now, or None."""
         if request.api_key is None:
@@ -178,9 +182,11 @@
         compiled = self._compiled
         if compiled is None or request.api_key is None:
             return RefusalCode.STALE_DOCUMENT
-        if compiled.find_key_holder(request.api_key) != request.workspace:
-            is_behind = compiled.version < request.document_version
-            return RefusalCode.STALE_DOCUMENT if is_behind else RefusalCode.API_KEY_UNKNOWN
+        holder = compiled.find_key_holder(request.api_key)
+        if holder != request.workspace:
+            # A key that moved is still valid: one of the two documents is behind.
+            is_stale = holder is not None or compiled.version < request.document_version
+            return RefusalCode.STALE_DOCUMENT if is_stale else RefusalCode.API_KEY_UNKNOWN
         return None if self.may_use_keys() else RefusalCode.KEY_LEASE_EXPIRED
 
     def _use_document(self, compiled: CompiledDocument) -> None:
--- a/src/samphirespring/process/keys/lease.py
+++ b/src/samphirespring/process/keys/lease.py
@@ -79,6 +79,14 @@
         """
         return self.read_remaining_s(now_s) > 0.0
 
+    def proves_newest(self, now_s: float) -> bool:
+        """Return whether the own document is confirmed, and no newer one is known.
+
+        Args:
+            now_s: Time since the boot of the host, in seconds.
+        """
+        return self.is_valid(now_s) and not self._waiting
+
     def read_remaining_s(self, now_s: float) -> float:
         """Return for how long the host may use API keys, in seconds; infinite without a limit.
 
--- a/src/samphirespring/request/key_gate.py
+++ b/src/samphirespring/request/key_gate.py
@@ -13,6 +13,10 @@
     def may_use_keys(self) -> bool:
         """Return whether the host's document may be relied on for API keys now."""
 
+    @abstractmethod
+    def may_reject_keys(self) -> bool:
+        """Return whether a key that the host's document doesn't have is proven to be unknown."""
+
     @abstractmethod
     def check(self, request: AttemptRequest) -> RefusalCode | None:
         """Return why an attempt must not be sent to its target now, or None.
