Wait for the leader's next round before an ask for a confirmation is given up

Cause: an ask that comes just after a round began waits 0.4 s for the next one, then for that round and the way back; with 20 ms between regions that is 0.48 s of a timeout of 0.5 s, and more between regions farther apart or on busy hosts. Change: 0.7 s for each control host and 1.4 s for the search of the leader, in place of 0.5 s and 1.0 s. Conclusion: how long a silent control host holds an ask up grows by 0.2 s, beside at least 3.0 s that a lease has left.

--- a/src/samphirespring/process/keys/keeper.py
+++ b/src/samphirespring/process/keys/keeper.py
@@ -45,10 +45,13 @@
 """Age of a relay's confirmation above which another confirmer is asked, as a share of the lease."""
 
 RELAY_TIMEOUT_S = 0.3
-CONTROL_TIMEOUT_S = 0.5
-"""Timeout of each control host, in seconds."""
+CONTROL_TIMEOUT_S = 0.7
+"""Timeout of each control host, in seconds.
 
-LEADER_TIMEOUT_S = 1.0
+An ask waits for the leader's next round, which begins up to 0.4 s later, and for the round itself.
+"""
+
+LEADER_TIMEOUT_S = 1.4
 """Longest search for the leader, in seconds."""
 
 WATCH_INTERVAL_S = 0.25
--- a/tests/features/key_lease.feature
+++ b/tests/features/key_lease.feature
@@ -130,3 +130,9 @@
     Given a front whose host may use keys, and knows that a newer document exists
     Then a request with a valid key is served
     And a request with an unknown key is refused with 503 "key_lease_expired", not run
+
+  Scenario: An ask that comes just after a round began isn't given up
+    Given a failure domain of 5 hosts with leases of 4.75 s
+    And the way to control takes 0.06 s
+    When they run for 20 s, then nothing fails, and they run for 20 s
+    Then no ask of the leader was given up
