Read the truth value of strict-revoke also where it comes as text

Change: text in any case counts as well; read_defaults is public, so that a test can call it. Conclusion: a spelling of the bound can't switch the ends of permissions off.

--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -40,12 +40,17 @@
         """Return the ASGI application for the operator."""
         return ConfigurationApp(
             components.documents,
-            defaults=_read_defaults(self._settings),
+            defaults=read_defaults(self._settings),
             operator_port=self._settings.operator_port,
         ).make_app()
 
 
-def _read_defaults(settings: PlatformControlSettings) -> DeploymentDefaults:
+def read_defaults(settings: PlatformControlSettings) -> DeploymentDefaults:
+    """Return what the deployment sets for all services and tenants.
+
+    Args:
+        settings: The settings of a control host.
+    """
     bounds = settings.bounds
     return DeploymentDefaults(
         floor=float(bounds.get("floor-share", "0.7")),
@@ -67,6 +72,7 @@
 
 def _read_key_lease_ms(settings: PlatformControlSettings) -> int:
     bounds = settings.bounds
-    if bounds.get("strict-revoke") is not True:
+    # A truth value may come as text: bounds are also given as `name=value`.
+    if str(bounds.get("strict-revoke", False)).lower() != "true":
         return 0
     return round(parse_ms(str(bounds.get("revoke", "5s"))) * KEY_LEASE_SHARE)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -177,6 +177,23 @@
       | 3       | omitted | 3.0/s with burst 1    |
       | 0.25    | 2       | 0.25/s with burst 2   |
 
+  Scenario Outline: The bounds of a deployment tell for how long permissions to use keys last
+    A bound that is read as absent would let hosts that are cut off use withdrawn keys without end.
+
+    When the settings of a control host have the bounds <bounds>
+    Then hosts run requests with keys for <limit> ms without a confirmation
+
+    Examples:
+      | bounds                                        | limit |
+      | {"strict-revoke": true, "revoke": "5000ms"}   | 4750  |
+      | {"strict-revoke": "true", "revoke": "5s"}     | 4750  |
+      | {"strict-revoke": true}                       | 4750  |
+      | {"strict-revoke": true, "revoke": "3s"}       | 2850  |
+      | {"strict-revoke": false, "revoke": "5000ms"}  | 0     |
+      | {"strict-revoke": "false", "revoke": "5000ms"} | 0     |
+      | {"revoke": "5000ms"}                          | 0     |
+      | {}                                            | 0     |
+
   Scenario: A configuration without tenants is translated as before they existed
     When a configuration without tenants is translated for a deployment with strict revocation
     Then its sections are those of a deployment without it
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -19,6 +19,7 @@
     DeploymentDefaults,
     translate_configuration,
 )
+from samphirespring.platform.control_adapter import read_defaults
 from samphirespring.platform.operator_http import ConfigurationApp
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
 from samphirespring.platform.units import parse_seconds
@@ -341,6 +342,32 @@
     context.compiled = compile_document(context.document)
 
 
+@when("the settings of a control host have the bounds {bounds}")
+def step_set_bounds(context, bounds):
+    settings = msgspec.convert(
+        {
+            "host": "core-1",
+            "failure_domain": "sask-a",
+            "region": "sask",
+            "address": "10.1.0.1",
+            "link_port": 7600,
+            "metrics_port": 9465,
+            "seeds": [],
+            "bounds": json.loads(bounds),
+            "operator_listen": "10.1.0.1:8620",
+            "data_folder": "data",
+            "first_start": True,
+        },
+        PlatformControlSettings,
+    )
+    context.defaults = read_defaults(settings)
+
+
+@then("hosts run requests with keys for {limit_ms:d} ms without a confirmation")
+def step_check_bound(context, limit_ms):
+    assert context.defaults.key_lease_ms == limit_ms, context.defaults
+
+
 @when("a configuration without tenants is translated for a deployment with strict revocation")
 def step_translate_without_tenants(context):
     context.configuration = make_configuration(6)
