Drop a caller's key and claimed tenant also where there are no tenants

Cause: a configuration without tenants passed X-Api-Key and X-Tenant on to the target as the caller sent them; a key must never reach a target, and the header with the tenant is the system's. Change: the platform's caller dialect drops both with the caller's service; the front adds the tenant of a checked key. Conclusion: what a target gets in these headers doesn't depend on the configuration that a node has.

--- a/src/samphirespring/platform/caller_dialect.py
+++ b/src/samphirespring/platform/caller_dialect.py
@@ -12,7 +12,14 @@
     read_caller_request,
 )
 from samphirespring.connection.http_headers import select_end_to_end
-from samphirespring.platform.headers import CALLER_SERVICE, DEADLINE_MS, REQUEST_ID, SEAL
+from samphirespring.platform.headers import (
+    API_KEY,
+    CALLER_SERVICE,
+    DEADLINE_MS,
+    REQUEST_ID,
+    SEAL,
+    TENANT,
+)
 from samphirespring.process.errors import SamphireError
 from samphirespring.request.body import RequestBody
 from samphirespring.request.caller import CallerRequest, ResponseMetadata
@@ -28,6 +35,9 @@
 
 BAD_GATEWAY = 502
 
+REPLACED = frozenset({CALLER_SERVICE, TENANT, API_KEY})
+"""Headers that a target never gets as the caller sent them, whether or not there are tenants."""
+
 
 class PlatformCallerDialect(CallerDialect):
     """Uses the platform's headers.
@@ -57,7 +67,7 @@
     ) -> CallerRequest:
         """Return the request as the front handles it."""
         headers = select_end_to_end(scope["headers"])
-        forwarded = tuple(header for header in headers if header.name != CALLER_SERVICE)
+        forwarded = tuple(header for header in headers if header.name not in REPLACED)
         return read_caller_request(
             request_id,
             scope,
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -198,6 +198,7 @@
     When a configuration without tenants is translated for a deployment with strict revocation
     Then its sections are those of a deployment without it
     And no request needs a key
+    And a request with a key and a tenant reaches its target with neither
 
   Scenario: Tenants' keys, priorities and names reach requests
     When a configuration with the tenant "pulo780" of priority 1 is translated
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -389,6 +389,14 @@
     assert not context.compiled.requires_keys
 
 
+@then("a request with a key and a tenant reaches its target with neither")
+def step_check_stripped(context):
+    sent = [(b"X-Api-Key", b"key-1"), (b"X-Tenant", b"forged"), (b"x-kept", b"1")]
+    request = authenticate_request(context, "/read/1", *sent)
+    names = {header.name for header in request.headers}
+    assert b"x-kept" in names and not names & {b"x-api-key", b"x-tenant"}, names
+
+
 @when('a configuration with the tenant "{name}" of priority {priority:d} is translated')
 def step_translate_tenant(context, name, priority):
     configuration = make_configuration(6)
