--- a/src/samphirespring/process/keys/keeper.py
+++ b/src/samphirespring/process/keys/keeper.py
@@ -51,10 +51,13 @@
 """Age of a relay's confirmation above which another confirmer is asked, as a share of the lease."""
 
 RELAY_TIMEOUT_S = 0.3
-CONTROL_TIMEOUT_S = 0.6
-"""Timeout of each control host, in seconds; longer than the leader's wait for its next round."""
+CONTROL_TIMEOUT_S = 0.7
+"""Timeout of each control host, in seconds.
 
-LEADER_TIMEOUT_S = 1.2
+An ask waits for the leader's next round, which begins up to 0.4 s later, and for the round itself.
+"""
+
+LEADER_TIMEOUT_S = 1.4
 """Longest search for the leader, in seconds."""
 
 WATCH_INTERVAL_S = 0.25
@@ -164,6 +167,10 @@
         """Return whether the host's document may be relied on for API keys now."""
         return self._lease.is_valid(self._timers.read_boot_s())
 
+    def may_reject_keys(self) -> bool:
+        """Return whether a key that the host's document doesn't have is proven to be unknown."""
+        return self._lease.proves_newest(self._timers.read_boot_s())
+
     def check(self, request: AttemptRequest) -> RefusalCode | None:
         """Return why an attempt must not be sent to its target now, or None."""
         if request.api_key is None:
@@ -192,9 +199,11 @@
         compiled = self._compiled
         if compiled is None or request.api_key is None:
             return RefusalCode.STALE_DOCUMENT
-        if compiled.find_key_holder(request.api_key) != request.workspace:
-            is_behind = compiled.version < request.document_version
-            return RefusalCode.STALE_DOCUMENT if is_behind else RefusalCode.API_KEY_UNKNOWN
+        holder = compiled.find_key_holder(request.api_key)
+        if holder != request.workspace:
+            # A key that moved is still valid: one of the two documents is behind.
+            is_stale = holder is not None or compiled.version < request.document_version
+            return RefusalCode.STALE_DOCUMENT if is_stale else RefusalCode.API_KEY_UNKNOWN
         return None if self.may_use_keys() else RefusalCode.KEY_LEASE_EXPIRED
 
     def _use_document(self, compiled: CompiledDocument) -> None:
