Retries of a service that sheds as a whole, granted from one budget of many fronts

Cause: 51 of 56 targets shed 55 in 100 requests for 8.5 s. Each of 75 fronts spends its own part of the retry budget, three or four retries, so that requests end with 503 at the first refusal while the fleet uses half of what the rule allows; and what sheds counts as faulty, so that all queue before the few targets that don't shed and end refused for want of a slot. Change: agents report what share of its attempts a target sheds. While a table sees that most targets of a service shed, and its policy has `retry_plan: by_service`, sheds are load and no faults, and the host that selects the service's targets grants retries from the sum of the fronts' accounts, by rank; a request waits and asks again, or is denied at once with the time after which one is likely. The platform's adapter sets it; below half of the targets nothing changes. docs/design/shedding-services.md.

--- a/src/samphirespring/connection/attempt_channel.py
+++ b/src/samphirespring/connection/attempt_channel.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from samphirespring.connection.link_methods import DuplexMethod
+from samphirespring.process.shedding.retry_pool import RetryGrant
 from samphirespring.process.targets import Locality, TargetLoad
 from samphirespring.request.messages import AttemptFrame, AttemptRequest
+from samphirespring.request.pooled_retries import RetryAsk
 from samphirespring.request.selection import Candidate
 from samphirespring.request.target_source import SelectionTerms
 
@@ -81,8 +83,23 @@
     """Load that the target's agent sent; None if the attempt ended without."""
 
 
-ToAgent = OpenAttempt | SendBody | GrantCredit | CancelAttempt | AskTarget | EndSelection
-ToFront = AttemptFrames | GrantCredit | TargetSelected
+class AskRetry(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="ask_retry"):
+    """Requests a retry from the peer's joint budget of a service."""
+
+    number: ChannelNumber
+    ask: RetryAsk
+
+
+class RetryDecided(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="retry"):
+    """Reply to `AskRetry`."""
+
+    number: ChannelNumber
+    grant: RetryGrant | None
+    """The decision; None if the peer decides nothing."""
+
+
+ToAgent = OpenAttempt | SendBody | GrantCredit | CancelAttempt | AskTarget | EndSelection | AskRetry
+ToFront = AttemptFrames | GrantCredit | TargetSelected | RetryDecided
 
 RUN_ATTEMPTS: DuplexMethod[ToAgent, ToFront] = DuplexMethod(
     path="/samphire.Agent/RunAttempts", request_type=ToAgent, reply_type=ToFront
--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -7,6 +7,7 @@
 
 from samphirespring.connection.attempt_channel import (
     RESPONSE_CREDIT_BYTES,
+    AskRetry,
     AskTarget,
     AttemptFrames,
     CancelAttempt,
@@ -14,6 +15,7 @@
     EndSelection,
     GrantCredit,
     OpenAttempt,
+    RetryDecided,
     SendBody,
     TargetSelected,
     ToAgent,
@@ -26,6 +28,8 @@
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ForwardingSlot, InboxFullError, Mailbox, ReplySlot
+from samphirespring.process.shedding.retry_pool import RetryGrant
+from samphirespring.process.shedding.retry_pools import AcquirePooled, PoolsMessage
 from samphirespring.process.target_table_messages import (
     ReleaseTarget,
     SelectTarget,
@@ -72,11 +76,19 @@
     Args:
         starter: Starts attempts.
         table: Inbox of the target table that selects targets for other fronts.
+        pools: Inbox of the joint retry budgets; None decides on no retries.
     """
 
-    def __init__(self, starter: AttemptStarter, *, table: Mailbox[TableMessage]) -> None:
+    def __init__(
+        self,
+        starter: AttemptStarter,
+        *,
+        table: Mailbox[TableMessage],
+        pools: Mailbox[PoolsMessage] | None = None,
+    ) -> None:
         self._starter = starter
         self._table = table
+        self._pools = pools
         self._channels: dict[HostId, _ServedChannel] = {}
         """The latest channel on which each host asked for targets."""
 
@@ -89,7 +101,9 @@
             messages: Messages of the front.
             send: Sends a message to the front; waits while the front reads slowly.
         """
-        channel = _ServedChannel(self._starter, self._table, on_ask=self._replace_channel)
+        channel = _ServedChannel(
+            self._starter, self._table, self._pools, on_ask=self._replace_channel
+        )
         try:
             await channel.serve(messages, send)
         finally:
@@ -111,6 +125,7 @@
     Args:
         starter: Starts attempts.
         table: Inbox of the target table.
+        pools: Inbox of the joint retry budgets, if there are any.
         on_ask: Called with the channel and the host of its front when that first asks for a target.
     """
 
@@ -118,11 +133,13 @@
         self,
         starter: AttemptStarter,
         table: Mailbox[TableMessage],
+        pools: Mailbox[PoolsMessage] | None,
         *,
         on_ask: Callable[["_ServedChannel", HostId], None],
     ) -> None:
         self._starter = starter
         self._table = table
+        self._pools = pools
         self._on_ask = on_ask
         self._scope = anyio.CancelScope()
         self.host: HostId | None = None
@@ -188,6 +205,8 @@
                 self._ask_target(message)
             case EndSelection():
                 self._end_selection(message)
+            case AskRetry():
+                self._ask_retry(message)
 
     def _ask_target(self, message: AskTarget) -> None:
         if self.host is None:
@@ -226,6 +245,19 @@
             self._table.post_always(UpdateLoad(target=target, load=message.load))
         self._table.post_always(ReleaseTarget(target=target))
 
+    def _ask_retry(self, message: AskRetry) -> None:
+        number = message.number
+        if self._pools is None:
+            self._post(RetryDecided(number=number, grant=None))
+            return
+        slot = ForwardingSlot[RetryGrant](
+            lambda grant: self._post(RetryDecided(number=number, grant=grant))
+        )
+        try:
+            self._pools.post(AcquirePooled(ask=message.ask, reply=slot))
+        except InboxFullError:
+            self._post(RetryDecided(number=number, grant=None))
+
     def _open(self, message: OpenAttempt) -> None:
         number = message.number
         credit = Credit(RESPONSE_CREDIT_BYTES)
--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -20,7 +20,7 @@
 )
 from samphirespring.version.ids import Revision, SectionName, ServiceName
 from samphirespring.version.parser import DocumentInvalidError
-from samphirespring.version.states import DetectionMode, PriorityClass
+from samphirespring.version.states import DetectionMode, PriorityClass, RetryPlan
 
 OPERATOR_SECTION = SectionName("operator")
 """Section that holds the operator's routes and services."""
@@ -44,6 +44,8 @@
         retry_floor: Additional attempts of all fronts together in a window, besides `retry_share`.
         retry_window_s: Length of the window, in seconds.
         suspicion: How often and for how long targets have short faults.
+        retry_plan: Who decides on retries while most targets of a service shed.
+        pooled_retry_factor: Factor on the additional attempts that one host grants for many fronts.
     """
 
     floor: float = 0.7
@@ -51,6 +53,8 @@
     retry_floor: float = 12.0
     retry_window_s: float = 60.0
     suspicion: SuspicionPolicy = SuspicionPolicy(share=0.3, span_s=2.7)
+    retry_plan: RetryPlan = RetryPlan.BY_FRONT
+    pooled_retry_factor: float = 1.0
 
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
@@ -189,6 +193,8 @@
         retry_share=defaults.retry_share,
         retry_floor=defaults.retry_floor,
         retry_window_s=defaults.retry_window_s,
+        retry_plan=defaults.retry_plan,
+        pooled_retry_factor=defaults.pooled_retry_factor,
         slow_start_s=3.0,
     )
 
--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -7,6 +7,7 @@
 from samphirespring.platform.settings import PlatformControlSettings
 from samphirespring.platform.units import parse_seconds
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
+from samphirespring.version.states import RetryPlan
 
 FRONT_BUDGET_SHARE = 0.6
 """Share of the fleet's retry budget that the fronts may spend.
@@ -16,6 +17,11 @@
 """
 
 
+POOLED_BUDGET_SHARE = 0.84
+"""Share of the fleet's retry budget that hosts may spend that grant retries for many fronts. What
+few of the retries of refused attempts run, and make calls, needs a smaller rest."""
+
+
 class PlatformControlAdapter(ControlAdapter):
     """Serves the operator's calls at a control host.
 
@@ -41,5 +47,7 @@
         floor=float(bounds.get("floor-share", "0.7")),
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
+        retry_plan=RetryPlan.BY_SERVICE,
+        pooled_retry_factor=POOLED_BUDGET_SHARE / FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
     )
--- a/src/samphirespring/process/agent/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -119,6 +119,7 @@
             weight=round(self.evaluator.health.read_weight(now_s), 3),
             risk=None if self.suspicion is None else round(self.suspicion.read(now_s), 4),
             summary=self.evaluator.health.summarize(now_s),
+            sheds=None if self.suspicion is None else self.suspicion.read_sheds(now_s),
         )
 
     def make_dump(self, now_s: float) -> LocalTargetDump:
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -79,6 +79,8 @@
     WatchedFile,
     make_settings_watch,
 )
+from samphirespring.process.shedding.retry_pools import RetryPools
+from samphirespring.process.shedding.scheduled_retries import ScheduledRetrySource
 from samphirespring.process.target_prober import TargetProber
 from samphirespring.process.target_table import TargetTable
 from samphirespring.process.targets import Locality
@@ -199,8 +201,9 @@
             generator=generator,
             traffic_limiter=traffic_limiter.inbox,
         )
+        retry_pools = RetryPools(timers=self._timers)
         self._attempt_channel_server = AttemptChannelServer(
-            self._attempt_runner, table=target_table.inbox
+            self._attempt_runner, table=target_table.inbox, pools=retry_pools.inbox
         )
         path_prober = PathProber(
             inbox=target_table.path_prober_inbox,
@@ -230,6 +233,13 @@
             metrics=metrics,
             generator=generator,
             replay_buffer_bytes=settings.limits.replay_buffer_bytes,
+            retries=ScheduledRetrySource(
+                retry_pools.inbox,
+                traffic_limiter=traffic_limiter.inbox,
+                find_scheduler=targets.find_scheduler,
+                find_channel=attempt_channels.find_channel,
+                host=locality.host,
+            ),
         )
         ledger_client = LedgerClient(self._link_pool, control_directory)
         action_runner = ActionRunner(ledger=ledger_client, timers=self._timers, metrics=metrics)
@@ -316,6 +326,7 @@
             target_table,
             path_prober,
             traffic_limiter,
+            retry_pools,
             self._front,
             action_runner,
             self._registry_client,
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -32,6 +32,7 @@
     # Targets and paths.
     TARGET_CONDITION_CHANGED = "target_condition_changed"
     TARGET_PROBE_CHANGED = "target_probe_changed"
+    SERVICE_SHEDDING = "service_shedding"
     PATH_LOST = "path_lost"
     PATH_FOUND = "path_found"
     CHANNEL_REPLACED = "channel_replaced"
--- a/src/samphirespring/process/retry_budget.py
+++ b/src/samphirespring/process/retry_budget.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from samphirespring.process.ids import HostId
+from samphirespring.process.shedding.retry_pool import FrontAccount
 from samphirespring.process.sliding_count import SlidingCount
 from samphirespring.version.ids import ServiceName
 
@@ -94,6 +96,37 @@
             self._spent[spent_kind].add(min(1.0, available), now_s=now_s)
         return self._generator.random() < available
 
+    def record_pooled(self, *, now_s: float) -> None:
+        """Charge an attempt that a pool of many fronts' budgets granted.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+        """
+        self._pooled.add(1.0, now_s=now_s)
+        self._spent[RetryKind.EXECUTION].add(1.0, now_s=now_s)
+
+    def read_account(
+        self, *, host: HostId, share: float, floor: float, now_s: float
+    ) -> FrontAccount:
+        """Return what this front adds to a pool of many fronts' budgets.
+
+        Args:
+            host: Host of the front.
+            share: Additional executions allowed per request.
+            floor: Additional attempts allowed per window beyond the share.
+            now_s: Monotonic time, in seconds.
+        """
+        pooled = self._pooled.read(now_s)
+        return FrontAccount(
+            host=host,
+            requests=self._requests.read(now_s),
+            own=self._spent[RetryKind.EXECUTION].read(now_s) - pooled,
+            pooled=pooled,
+            share=share,
+            floor=floor,
+            window_s=self._window_s,
+        )
+
     def set_window(self, window_s: float) -> None:
         """Set the window length; a new length resets all counts.
 
@@ -107,6 +140,8 @@
     def _reset(self) -> None:
         self._requests = SlidingCount(self._window_s)
         self._spent = {kind: SlidingCount(self._window_s) for kind in RetryKind}
+        self._pooled = SlidingCount(self._window_s)
+        """Attempts that a pool granted; they are included in the executions."""
 
     def _compute_available(
         self, kind: RetryKind, *, share: float, floor: float, now_s: float
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -7,7 +7,7 @@
 
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.ids import HostId, TargetId
-from samphirespring.process.targets import Locality, TargetLoad
+from samphirespring.process.targets import Locality, TargetLoad, TargetSheds
 from samphirespring.request.selection import Candidate, Choice, is_usable
 from samphirespring.request.subset import choose_subset
 
@@ -27,6 +27,7 @@
         risk: Probability of a fault as last reported by the agent; None before the first report.
         risk_reported_at_s: Time of that report, in seconds of monotonic time.
         sent_at_s: Start of the latest attempt on the target, in seconds of monotonic time.
+        sheds: What the target sheds as last reported by the agent.
     """
 
     candidate: Candidate
@@ -36,6 +37,7 @@
     risk: float | None = None
     risk_reported_at_s: float = -math.inf
     sent_at_s: float = -math.inf
+    sheds: TargetSheds | None = None
 
     def estimate_risk(self, model: FaultModel | None, now_s: float) -> float | None:
         """Return the probability that the target is in a fault now.
@@ -77,6 +79,7 @@
         if load.risk is not None:
             self.risk = load.risk
             self.risk_reported_at_s = now_s
+            self.sheds = load.sheds
 
 
 class ServicePool:
@@ -210,6 +213,7 @@
                     risk=member.estimate_risk(model, now_s),
                     risk_age_s=now_s - member.risk_reported_at_s,
                     sent_age_s=now_s - member.sent_at_s,
+                    sheds=member.sheds,
                 )
                 for member in tier
             ]
--- a/src/samphirespring/process/suspicion.py
+++ b/src/samphirespring/process/suspicion.py
@@ -3,6 +3,8 @@
 from samphirespring.process.detection.fault_risk import FaultModel, FaultRisk
 from samphirespring.process.detection.observations import FAILURES
 from samphirespring.process.detection.states import ObservedOutcome
+from samphirespring.process.shedding.shed_rate import ShedRate
+from samphirespring.process.targets import TargetSheds
 from samphirespring.request.ids import AttemptId
 from samphirespring.request.messages import AttemptRequest
 
@@ -29,6 +31,10 @@
 
     def __init__(self, model: FaultModel, *, now_s: float) -> None:
         self._risk = FaultRisk(model, now_s=now_s)
+        self._fault_risk = FaultRisk(model, now_s=now_s)
+        """Risk by everything but what the target sheds."""
+
+        self._sheds = ShedRate(now_s=now_s)
         self._last_trial_at_s = float("-inf")
 
     def use_model(self, model: FaultModel, *, now_s: float) -> None:
@@ -40,6 +46,7 @@
         """
         if model != self._risk.model:
             self._risk = FaultRisk(model, now_s=now_s)
+            self._fault_risk = FaultRisk(model, now_s=now_s)
 
     def begin(self, attempt: AttemptId, *, now_s: float) -> None:
         """Record the start of an attempt.
@@ -49,6 +56,7 @@
             now_s: Monotonic time, in seconds.
         """
         self._risk.begin(attempt, now_s=now_s)
+        self._fault_risk.begin(attempt, now_s=now_s)
 
     def end(
         self,
@@ -61,7 +69,8 @@
         """Update the risk with the end of an attempt; errors of callers say nothing.
 
         Shedding counts as a failure: the agent admits attempts only into free slots, so a target
-        that sheds them serves as little as one that fails.
+        that sheds them serves as little as one that fails. It doesn't where most targets of the
+        service shed, as fronts then know and say (`AttemptRequest.sheds_are_load`).
 
         Args:
             attempt: The attempt.
@@ -73,6 +82,11 @@
         # Only a complete response shows by its time what failed the request.
         slow = as_slow_as_usual and outcome is ObservedOutcome.WRONG
         self._risk.end(attempt, failed=failed, as_slow_as_usual=slow, now_s=now_s)
+        shed = outcome is ObservedOutcome.SHED
+        self._fault_risk.end(
+            attempt, failed=None if shed else failed, as_slow_as_usual=slow, now_s=now_s
+        )
+        self._sheds.count(outcome, now_s=now_s)
 
     def read(self, now_s: float) -> float:
         """Return the current risk.
@@ -82,6 +96,17 @@
         """
         return self._risk.read(now_s)
 
+    def read_sheds(self, now_s: float) -> TargetSheds | None:
+        """Return what the target sheds, or None if that is next to nothing.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+        """
+        share = self._sheds.read(now_s)
+        if share == 0.0:
+            return None
+        return TargetSheds(share=round(share, 3), fault_risk=round(self._fault_risk.read(now_s), 4))
+
     def admits(self, request: AttemptRequest, *, now_s: float) -> bool:
         """Return whether an attempt may run on the target at its current risk.
 
@@ -89,7 +114,7 @@
             request: The attempt.
             now_s: Monotonic time, in seconds.
         """
-        risk = self.read(now_s)
+        risk = self._fault_risk.read(now_s) if request.sheds_are_load else self.read(now_s)
         if risk <= request.max_risk:
             return True
         if not request.may_try:
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -27,6 +27,7 @@
 from samphirespring.process.registry.held_hosts import HeldHosts
 from samphirespring.process.registry.record_check import find_problem, select_valid
 from samphirespring.process.service_pool import ServicePool
+from samphirespring.process.shedding.shedding_services import SheddingServices
 from samphirespring.process.target_advice import TargetAdvice
 from samphirespring.process.target_table_messages import (
     ApplyDelta,
@@ -57,6 +58,7 @@
 from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.scheduler_choice import choose_scheduler
 from samphirespring.request.selection import Candidate, Selector, group_by_distance
+from samphirespring.request.shedding_selection import count_sheds_as_load
 from samphirespring.version.document import FleetSection, ServicePolicy
 from samphirespring.version.ids import ServiceName
 
@@ -100,6 +102,7 @@
         self._subset_size = FleetSection().subset_size
         self._advice = TargetAdvice(generator or random.Random())
         self._risk_selector = RiskSelector(generator or random.Random())
+        self._shedding = SheddingServices()
         self._models: dict[ServiceName, FaultModel] = {}
         self._excluded: dict[ServiceName, frozenset[TargetId]] = {}
         self.path_prober_inbox: Mailbox[ProbePath] = Mailbox(
@@ -244,6 +247,8 @@
             is_retry=bool(terms.tried),
             now_s=now_s,
         )
+        if model is not None and self._shedding.is_whole(service, tiers):
+            tiers = count_sheds_as_load(tiers, model)
         if message.locality is not None:
             tiers = group_by_distance(tiers, message.locality)
         if model is None:
@@ -306,6 +311,7 @@
 
     def _use_policies(self, policies: Mapping[ServiceName, ServicePolicy]) -> None:
         self._advice.use_policies(policies)
+        self._shedding.use_policies(policies)
         models = {service: make_fault_model(policy) for service, policy in policies.items()}
         self._models = {service: model for service, model in models.items() if model is not None}
 
--- a/src/samphirespring/process/targets.py
+++ b/src/samphirespring/process/targets.py
@@ -23,6 +23,16 @@
     host: HostId
 
 
+class TargetSheds(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
+    """What a target sheds of its requests."""
+
+    share: float
+    """Share of its latest attempts that it shed."""
+
+    fault_risk: float
+    """Probability that it is in a fault, if what it sheds is no sign of one."""
+
+
 class TargetLoad(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
     """State of a target that its agent reports with each response."""
 
@@ -42,6 +52,9 @@
     summary: TargetSummary | None = None
     """The target's contribution to the pool's reference; sent with responses only."""
 
+    sheds: TargetSheds | None = None
+    """What it sheds; None if next to nothing."""
+
 
 class TargetRecord(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
     """One target in the registry and in the tables of the fronts."""
--- a/src/samphirespring/process/traffic_limiter.py
+++ b/src/samphirespring/process/traffic_limiter.py
@@ -5,6 +5,7 @@
 import anyio
 import msgspec
 
+from samphirespring.process.ids import HostId
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
 from samphirespring.process.paging import (
     DumpList,
@@ -27,6 +28,7 @@
     RetryBudgetDump,
     RetryKind,
 )
+from samphirespring.process.shedding.retry_pool import FrontAccount
 from samphirespring.process.tasks import OwnerTask, PagedDump
 from samphirespring.process.timers import TimerService
 from samphirespring.version.document import RateLimit, ServicePolicy
@@ -71,6 +73,21 @@
     reply: ReplySlot[bool]
 
 
+class ReadFrontAccount(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests what this front adds to the joint retry budget of a service."""
+
+    service: ServiceName
+    policy: ServicePolicy
+    host: HostId
+    reply: ReplySlot[FrontAccount]
+
+
+class RecordPooledRetry(msgspec.Struct, frozen=True, kw_only=True):
+    """Charges an attempt that a joint budget granted."""
+
+    service: ServiceName
+
+
 class ReadTrafficDump(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the limiter's state."""
 
@@ -90,7 +107,15 @@
     count: int
 
 
-TrafficMessage = AdmitRequest | AcquireRetry | UseFrontCount | ReadTrafficDump | ReadTrafficPage
+TrafficMessage = (
+    AdmitRequest
+    | AcquireRetry
+    | ReadFrontAccount
+    | RecordPooledRetry
+    | UseFrontCount
+    | ReadTrafficDump
+    | ReadTrafficPage
+)
 
 
 class BucketDump(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,6 +196,11 @@
                 message.reply.send(self._admit(message))
             case AcquireRetry():
                 message.reply.send(self._acquire_retry(message))
+            case ReadFrontAccount():
+                message.reply.send(self._read_account(message))
+            case RecordPooledRetry():
+                now_s = self._timers.read_now_s()
+                self._find_budget(message.service, now_s).record_pooled(now_s=now_s)
             case UseFrontCount():
                 self._front_count = max(1, message.count)
             case ReadTrafficDump():
@@ -245,6 +275,16 @@
             )
         return granted
 
+    def _read_account(self, message: ReadFrontAccount) -> FrontAccount:
+        now_s = self._timers.read_now_s()
+        factor = message.policy.pooled_retry_factor
+        return self._find_budget(message.service, now_s).read_account(
+            host=message.host,
+            share=message.policy.retry_share * factor,
+            floor=message.policy.retry_floor * factor / self._front_count,
+            now_s=now_s,
+        )
+
     def _find_budget(self, service: ServiceName, now_s: float) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/samphirespring/request/attempt.py
+++ b/src/samphirespring/request/attempt.py
@@ -79,9 +79,13 @@
 
     def _report_load(self, result: AttemptResult) -> None:
         load = result.load
+        is_full = isinstance(result, AttemptRefused) and result.code in CAPACITY_REFUSALS
+        if load is None and is_full and self._selection.candidate.service_sheds:
+            # The wait for a slot ended; the agent's refusal doesn't say more.
+            load = msgspec.structs.replace(self._selection.candidate.load, risk=None)
         if load is None:
             return
-        if isinstance(result, AttemptRefused) and result.code in CAPACITY_REFUSALS:
+        if is_full:
             # The agent may report free slots although the backend server itself sheds load.
             load = msgspec.structs.replace(load, free_slots=0)
         self._selection.report_load(load)
@@ -181,4 +185,5 @@
         max_risk=candidate.max_risk,
         may_try=candidate.may_try,
         terms=candidate.terms,
+        sheds_are_load=candidate.service_sheds,
     )
--- a/src/samphirespring/request/attempt_errors.py
+++ b/src/samphirespring/request/attempt_errors.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from samphirespring.request.errors import (
     AttemptFailedError,
     DeadlineExpiredError,
@@ -37,6 +39,20 @@
     return AttemptFailedError(f"the attempt failed: {result.kind.value}", outcome=outcome)
 
 
+def state_retry_after(
+    result: AttemptRefused | AttemptFailed, wait_s: float
+) -> AttemptRefused | AttemptFailed:
+    """Return a result that states after which time a retry of the request may be granted.
+
+    Args:
+        result: Result of the last attempt.
+        wait_s: The time, in seconds; 0.0 if it isn't known.
+    """
+    if wait_s <= 0.0 or not isinstance(result, AttemptRefused):
+        return result
+    return msgspec.structs.replace(result, retry_after_ms=math.ceil(wait_s * 1_000))
+
+
 def _make_refusal_error(result: AttemptRefused) -> RequestError:
     if result.code is RefusalCode.EXPIRED:
         return DeadlineExpiredError("the deadline passed before the attempt could start")
--- a/src/samphirespring/request/context.py
+++ b/src/samphirespring/request/context.py
@@ -10,6 +10,7 @@
 from samphirespring.process.timers import TimerService
 from samphirespring.process.traffic_limiter import TrafficMessage
 from samphirespring.request.attempt_sender import AttemptSender
+from samphirespring.request.pooled_retries import NoRetrySource, RetrySource
 from samphirespring.request.target_source import TargetSource
 
 
@@ -26,6 +27,7 @@
         generator: Source of random numbers.
         replay_buffer_bytes: Bytes of a response body that are buffered before they are sent to the
             caller, so that an attempt that fails until then can be retried.
+        retries: Grants retries from joint budgets of many fronts.
     """
 
     sender: AttemptSender
@@ -36,3 +38,4 @@
     metrics: Metrics
     generator: random.Random
     replay_buffer_bytes: int
+    retries: RetrySource = NoRetrySource()
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -6,9 +6,15 @@
 from samphirespring.process.mailbox import ask
 from samphirespring.process.metrics.metric_names import Counter
 from samphirespring.process.retry_budget import RetryKind
+from samphirespring.process.shedding.retry_pool import (
+    DENIED,
+    GRANTED,
+    GrantDecision,
+    RetryGrant,
+)
 from samphirespring.process.traffic_limiter import AcquireRetry
 from samphirespring.request.attempt import Attempt, make_attempt_request
-from samphirespring.request.attempt_errors import make_request_error
+from samphirespring.request.attempt_errors import make_request_error, state_retry_after
 from samphirespring.request.caller import CallerRequest, ResponseWriter
 from samphirespring.request.context import ExchangeContext
 from samphirespring.request.deadline import AGENT_REPORT_GRACE_S, Deadline, make_deadline
@@ -29,7 +35,7 @@
     AttemptResult,
     ResponseEnd,
 )
-from samphirespring.request.retry import RetryDecision, RetryPlanner, RetryStep
+from samphirespring.request.retry import RetryDecision, RetryPlanner, RetryStep, compute_max_wait_s
 from samphirespring.request.selection import Candidate
 from samphirespring.request.states import FailureKind, Outcome, RefusalCode
 from samphirespring.request.target_source import Selection, SelectionTerms
@@ -131,7 +137,9 @@
             step = self._planner.plan(result, remaining_ms=self._compute_remaining_ms())
             if step.decision is not RetryDecision.RETRY or not self._request.body.can_replay:
                 raise make_request_error(result, policy=self._policy)
-            if not _is_unbudgeted(result) and not await self._acquire_retry(self._classify(result)):
+            grant = await self._acquire_step(result)
+            if grant.decision is not GrantDecision.GRANTED:
+                result = state_retry_after(result, grant.wait_s)
                 raise make_request_error(result, policy=self._policy)
             await self._wait(step)
 
@@ -230,6 +238,38 @@
         self._context.metrics.count(HEDGE_METRICS[kind])
         return True
 
+    async def _acquire_step(self, result: AttemptRefused | AttemptFailed) -> RetryGrant:
+        """Decide on the retry after an attempt, if need be after a wait."""
+        service_sheds = self._tried[-1].service_sheds
+        if _is_unbudgeted(result, service_sheds=service_sheds):
+            return GRANTED
+        kind = self._classify(result)
+        if service_sheds and kind is RetryKind.EXECUTION:
+            grant = await self._acquire_pooled()
+            if grant is not None:
+                return grant
+        return GRANTED if await self._acquire_retry(kind) else DENIED
+
+    async def _acquire_pooled(self) -> RetryGrant | None:
+        """Ask for a retry from the joint budget, until it is granted or denied."""
+        grant = await self._ask_pool(has_waited=False)
+        while grant is not None and grant.decision is GrantDecision.WAIT:
+            await self._context.timers.wait_for(grant.wait_s)
+            grant = await self._ask_pool(has_waited=True)
+        if grant is not None:
+            self._count_decision(granted=grant.decision is GrantDecision.GRANTED)
+        return grant
+
+    async def _ask_pool(self, *, has_waited: bool) -> RetryGrant | None:
+        reserve_ms = self._policy.retry.execution_reserve_ms
+        return await self._context.retries.acquire(
+            self._policy.service,
+            policy=self._route.service,
+            rank=self._policy.rank,
+            max_wait_s=compute_max_wait_s(self._compute_remaining_ms(), reserve_ms=reserve_ms),
+            has_waited=has_waited,
+        )
+
     async def _acquire_retry(self, kind: RetryKind) -> bool:
         granted: bool = await ask(
             self._context.traffic_limiter,
@@ -237,9 +277,12 @@
                 service=self._policy.service, policy=self._route.service, kind=kind, reply=reply
             ),
         )
+        self._count_decision(granted=granted)
+        return granted
+
+    def _count_decision(self, *, granted: bool) -> None:
         name = Counter.FRONT_RETRIES_GRANTED if granted else Counter.FRONT_RETRY_BUDGET_SPENT
         self._context.metrics.count(name)
-        return granted
 
     def _classify(self, result: AttemptRefused | AttemptFailed) -> RetryKind:
         if isinstance(result, AttemptRefused):
@@ -309,13 +352,12 @@
         return "before a target was selected"
 
 
-def _is_unbudgeted(result: AttemptRefused | AttemptFailed) -> bool:
+def _is_unbudgeted(result: AttemptRefused | AttemptFailed, *, service_sheds: bool) -> bool:
     """Return whether a retry doesn't use the retry budget, because no backend server was reached.
 
-    Refusals for lack of capacity do use it, so that retries don't add load to busy agents.
+    Refusals for lack of capacity do use it, so that retries don't add load to busy agents. They
+    don't while most targets shed: the few that don't are full, and the others still have slots.
     """
-    return (
-        isinstance(result, AttemptRefused)
-        and result.code in UNBUDGETED_REFUSALS
-        and not result.by_target
-    )
+    if not isinstance(result, AttemptRefused) or result.by_target:
+        return False
+    return result.code in UNBUDGETED_REFUSALS or service_sheds
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -69,6 +69,9 @@
     body_length: int | None = None
     """Length of a body that follows, in bytes; None if the caller didn't declare it."""
 
+    sheds_are_load: bool = False
+    """Whether what the target sheds is no sign of a fault, as most targets of its service shed."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/src/samphirespring/request/retry.py
+++ b/src/samphirespring/request/retry.py
@@ -35,6 +35,10 @@
 """Share of a hinted wait that is added at random, so that waiting requests don't retry together."""
 
 
+MAX_WAIT_SHARE = 0.5
+"""Largest share of a request's remaining time that it waits for a promised retry."""
+
+
 class RetryDecision(Enum):
     """Next step after a failed or refused attempt."""
 
@@ -195,6 +199,18 @@
         return self._generator.random() * limit_s
 
 
+def compute_max_wait_s(remaining_ms: int, *, reserve_ms: int) -> float:
+    """Return how long a request may wait for a retry that is promised to it, in seconds.
+
+    The rest of its time is left for the attempt.
+
+    Args:
+        remaining_ms: Time remaining until the deadline, in milliseconds.
+        reserve_ms: Time that must remain for an attempt, in milliseconds.
+    """
+    return max(0.0, (remaining_ms - reserve_ms) * MAX_WAIT_SHARE / 1_000)
+
+
 def may_hedge(policy: RoutePolicy) -> bool:
     """Return whether a route allows hedging: a second attempt before the first one ended.
 
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -245,7 +245,7 @@
 
 def _compute_cost(choice: Choice, tried: Collection[TargetId]) -> float:
     """Return the cost of a target other than that of its distance."""
-    cost = _get_risk(choice)
+    cost = _get_risk(choice) + choice.shed_cost
     slots = choice.candidate.load.slots
     if choice.free_slots < 1.0:
         cost += FULL_COST
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -11,7 +11,7 @@
 from samphirespring.process.detection.target_evaluator import DetectionTerms
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.targets import Locality, TargetLoad
+from samphirespring.process.targets import Locality, TargetLoad, TargetSheds
 
 CONDITION_WEIGHTS = {TargetCondition.SUSPECT: 0.5}
 """Factors on the free slots by condition; targets in other conditions count in full."""
@@ -43,6 +43,9 @@
     may_try: bool = False
     """Whether the attempt may be used to test if the target has recovered."""
 
+    service_sheds: bool = False
+    """Whether most targets of the service shed, and its policy plans retries for that."""
+
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A candidate with its current estimates."""
@@ -58,6 +61,12 @@
     sent_age_s: float = math.inf
     """Time since this table selected it for an attempt, in seconds."""
 
+    sheds: TargetSheds | None = None
+    """What it sheds, as last reported; None if next to nothing."""
+
+    shed_cost: float = 0.0
+    """Cost of the chance that it sheds the request, where that is no sign of a fault."""
+
 
 class Distance(IntEnum):
     """Distance of a target from the front; nearer targets are preferred."""
--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -13,7 +13,7 @@
     TeamName,
     WorkspaceId,
 )
-from samphirespring.version.states import DetectionMode, PriorityClass
+from samphirespring.version.states import DetectionMode, PriorityClass, RetryPlan
 
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
@@ -136,6 +136,14 @@
     """Whether retries after a backend server's own refusal count as retries of executions. Its
     refusals cost little, so retries after them are limited to one for each request."""
 
+    retry_plan: RetryPlan = RetryPlan.BY_FRONT
+    """Who decides on retries while most targets of the service shed: each front (`by_front`), or
+    one host for many fronts, which needs `suspicion` (`by_service`)."""
+
+    pooled_retry_factor: PositiveFloat = 1.0
+    """Factor on `retry_share` and `retry_floor` for retries that one host grants for many fronts:
+    it can spend a budget to the full that fronts must not, each by itself."""
+
     slow_start_s: PositiveFloat = 10.0
     """Time in which a new or returning target ramps up to its full share, in seconds."""
 
