Fronts that avoid the selecting host for a while ask it for retries all the same

Cause: a host that didn't answer in 80 ms isn't asked for targets for 2 s, and wasn't asked for retries either; on busy machines many fronts then spent their own, spent budgets. Change: the retry source asks the table for the host at each ask, and waits 0.25 s.

--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -236,7 +236,7 @@
             retries=ScheduledRetrySource(
                 retry_pools.inbox,
                 traffic_limiter=traffic_limiter.inbox,
-                find_scheduler=targets.find_scheduler,
+                table=target_table.inbox,
                 find_channel=attempt_channels.find_channel,
                 host=locality.host,
             ),
--- a/src/samphirespring/process/scheduled_targets.py
+++ b/src/samphirespring/process/scheduled_targets.py
@@ -105,7 +105,7 @@
     @asynccontextmanager
     async def select(self, terms: SelectionTerms) -> AsyncIterator[Selection | None]:
         """Select the target of the next attempt; leaving the context ends the selection."""
-        peer = await self.find_scheduler(terms.service)
+        peer = await self._find_scheduler(terms.service)
         is_own = peer is not None and peer.host == self._locality.host
         async with AsyncExitStack() as stack:
             if peer is not None and not is_own:
@@ -132,12 +132,7 @@
             return None
         return ScheduledSelection(selection.candidate, selection, self._table)
 
-    async def find_scheduler(self, service: ServiceName) -> Peer | None:
-        """Return the host that selects a service's targets; None if each front does for itself.
-
-        Args:
-            service: The service.
-        """
+    async def _find_scheduler(self, service: ServiceName) -> Peer | None:
         now_s = self._timers.read_now_s()
         choice = self._choices.get(service)
         if choice is not None and choice.until_s > now_s:
--- a/src/samphirespring/process/shedding/scheduled_retries.py
+++ b/src/samphirespring/process/shedding/scheduled_retries.py
@@ -1,6 +1,6 @@
 """Asks the host that selects a service's targets for retries from the joint budget."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 
@@ -11,6 +11,7 @@
 from samphirespring.process.mailbox import InboxFullError, Mailbox, ask
 from samphirespring.process.shedding.retry_pool import FrontAccount, GrantDecision, RetryGrant
 from samphirespring.process.shedding.retry_pools import AcquirePooled, PoolsMessage
+from samphirespring.process.target_table_messages import FindScheduler, TableMessage
 from samphirespring.process.traffic_limiter import (
     ReadFrontAccount,
     RecordPooledRetry,
@@ -20,8 +21,9 @@
 from samphirespring.version.document import ServicePolicy
 from samphirespring.version.ids import ServiceName
 
-REPLY_TIMEOUT_S = 0.08
-"""Longest wait for the other host, in seconds; the front's own budget then decides."""
+REPLY_TIMEOUT_S = 0.25
+"""Longest wait for the other host, in seconds; the front's own budget then decides. It is longer
+than for a target: a retry that comes later is better than one that the own budget denies."""
 
 
 class ScheduledRetrySource(RetrySource):
@@ -30,7 +32,7 @@
     Args:
         pools: Inbox of this host's own pools.
         traffic_limiter: Inbox of the task that owns the front's own retry budgets.
-        find_scheduler: Returns the host that selects a service's targets.
+        table: Inbox of the target table, which knows the host that selects a service's targets.
         find_channel: Returns the channel to an address.
         host: This host.
     """
@@ -40,13 +42,13 @@
         pools: Mailbox[PoolsMessage],
         *,
         traffic_limiter: Mailbox[TrafficMessage],
-        find_scheduler: Callable[[ServiceName], Awaitable[Peer | None]],
+        table: Mailbox[TableMessage],
         find_channel: Callable[[str], AttemptChannel],
         host: HostId,
     ) -> None:
         self._pools = pools
         self._traffic_limiter = traffic_limiter
-        self._find_scheduler = find_scheduler
+        self._table = table
         self._find_channel = find_channel
         self._host = host
 
@@ -60,7 +62,9 @@
         has_waited: bool = False,
     ) -> RetryGrant | None:
         """Return the decision of the pool, or None without one in time."""
-        peer = await self._find_scheduler(service)
+        peer: Peer | None = await ask(
+            self._table, lambda reply: FindScheduler(service=service, reply=reply)
+        )
         if peer is None:
             return None
         account: FrontAccount = await ask(
