A target with a full queue costs more than one that isn't known

The first that answers well was selected by all, with a full queue at a cost of 0.32, while 7 of 12 got next to nothing; 65 requests were refused there for want of a slot in 3 s. Conclusion: one of three causes of the cold start; the others are written down.

--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -214,6 +214,7 @@
                     risk_age_s=now_s - member.risk_reported_at_s,
                     sent_age_s=now_s - member.sent_at_s,
                     sheds=member.sheds,
+                    queued=max(0, member.in_flight - member.candidate.load.slots),
                 )
                 for member in tier
             ]
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -31,7 +31,7 @@
 """Cost of a target with all but one slot in use; it falls as the share of free slots grows."""
 
 FULL_COST = 0.3
-"""Cost of a target without a free slot."""
+"""Cost of a target without a free slot, and once more of one whose queue is full."""
 
 TRIED_COST = 1.0
 """Cost of a target that already failed or refused the request."""
@@ -248,7 +248,8 @@
     cost = _get_risk(choice) + choice.shed_cost
     slots = choice.candidate.load.slots
     if choice.free_slots < 1.0:
-        cost += FULL_COST
+        # Each attempt that waits already makes it likelier that one more gets no slot in time.
+        cost += FULL_COST * (1.0 + min(1.0, choice.queued / slots))
     else:
         cost += BUSY_COST * (1.0 - min(1.0, choice.free_slots / slots))
     if choice.candidate.target in tried:
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -64,6 +64,9 @@
     sheds: TargetSheds | None = None
     """What it sheds, as last reported; None if next to nothing."""
 
+    queued: int = 0
+    """Attempts that this table selected it for beyond its slots."""
+
     shed_cost: float = 0.0
     """Cost of the chance that it sheds the request, where that is no sign of a fault."""
 
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -159,6 +159,7 @@
     context.tiers = [[] for _ in Distance]
     for row in context.table:
         choice = make_choice(row["target"], risk=float(row["risk"]), free=float(row["free"]))
+        choice = msgspec.structs.replace(choice, queued=int(row.get("queued", 0)))
         context.tiers[int(row["distance"])].append(choice)
 
 
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -58,6 +58,15 @@
       | b      | 2        | 0.20 | 3    |
     Then an action goes to "b", which refuses it above a risk of about 0.27
 
+  # Guards against a fleet that starts, of which one target is known to be well: all requests queued before it,
+  # and ended refused for want of a slot, while nothing was sent to targets that weren't known yet.
+  Scenario: A target that isn't known is preferred to a good one with a full queue
+    Given a front with targets of these risks and free slots
+      | target | distance | risk | free | queued |
+      | a      | 1        | 0.01 | 0    | 5      |
+      | b      | 2        | 0.30 | 3    | 0      |
+    Then an action goes to "b", which refuses it above a risk of about 0.57
+
   Scenario: If all targets are suspect, the one of lowest risk runs the request
     Given a front with targets of these risks and free slots
       | target | distance | risk | free |
