--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -31,6 +31,7 @@
     DetectionMode,
     PlacementMode,
     PriorityClass,
+    RetryPlan,
 )
 
 OPERATOR_SECTION = SectionName("operator")
@@ -70,6 +71,8 @@
         quota_overshoot: Share by which a quota may be exceeded within a window.
         quota_slack: Requests that may be added to a quota within a window.
         quota_window_s: Length of that window, in seconds.
+        retry_plan: Who decides on retries while most targets of a service shed.
+        pooled_retry_factor: Factor on the additional attempts that one host grants for many fronts.
     """
 
     floor: float = 0.7
@@ -82,6 +85,8 @@
     quota_overshoot: float = 0.0
     quota_slack: int = 0
     quota_window_s: float = 5.0
+    retry_plan: RetryPlan = RetryPlan.BY_FRONT
+    pooled_retry_factor: float = 1.0
 
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
@@ -281,6 +286,8 @@
         retry_share=defaults.retry_share,
         retry_floor=defaults.retry_floor,
         retry_window_s=defaults.retry_window_s,
+        retry_plan=defaults.retry_plan,
+        pooled_retry_factor=defaults.pooled_retry_factor,
         slow_start_s=3.0,
     )
 
--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -7,7 +7,7 @@
 from samphirespring.platform.settings import PlatformControlSettings
 from samphirespring.platform.units import parse_ms, parse_seconds
 from samphirespring.process.composition.control_adapter import ControlAdapter, ControlComponents
-from samphirespring.version.states import AdmissionMode
+from samphirespring.version.states import AdmissionMode, RetryPlan
 
 KEY_LEASE_SHARE = 0.95
 """Share of the time until a withdrawn key must not be used that permissions to use keys last.
@@ -26,6 +26,11 @@
 """
 
 
+POOLED_BUDGET_SHARE = 0.84
+"""Share of the fleet's retry budget that hosts may spend that grant retries for many fronts. What
+few of the retries of refused attempts run, and make calls, needs a smaller rest."""
+
+
 class PlatformControlAdapter(ControlAdapter):
     """Serves the operator's calls at a control host.
 
@@ -56,6 +61,8 @@
         floor=float(bounds.get("floor-share", "0.7")),
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
+        retry_plan=RetryPlan.BY_SERVICE,
+        pooled_retry_factor=POOLED_BUDGET_SHARE / FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
         admission=_read_admission(settings),
         key_lease_ms=_read_key_lease_ms(settings),
--- a/src/samphirespring/process/agent/local_target.py
+++ b/src/samphirespring/process/agent/local_target.py
@@ -182,6 +182,7 @@
             risk=None if self.suspicion is None else round(self.suspicion.read(now_s), 4),
             summary=self.evaluator.health.summarize(now_s),
             work=self._read_work(now_s, run_s),
+            sheds=None if self.suspicion is None else self.suspicion.read_sheds(now_s),
         )
 
     def _read_work(self, now_s: float, run_s: float | None) -> TargetWork | None:
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -86,6 +86,8 @@
     WatchedFile,
     make_settings_watch,
 )
+from samphirespring.process.shedding.retry_pools import RetryPools
+from samphirespring.process.shedding.scheduled_retries import ScheduledRetrySource
 from samphirespring.process.target_prober import TargetProber
 from samphirespring.process.target_table import TargetTable
 from samphirespring.process.targets import Locality
@@ -224,8 +226,9 @@
             metrics=metrics,
             generator=generator,
         )
+        retry_pools = RetryPools(timers=self._timers)
         self._attempt_channel_server = AttemptChannelServer(
-            self._attempt_runner, table=target_table.inbox
+            self._attempt_runner, table=target_table.inbox, pools=retry_pools.inbox
         )
         path_prober = PathProber(
             inbox=target_table.path_prober_inbox,
@@ -255,6 +258,13 @@
             metrics=metrics,
             generator=generator,
             replay_buffer_bytes=settings.limits.replay_buffer_bytes,
+            retries=ScheduledRetrySource(
+                retry_pools.inbox,
+                traffic_limiter=traffic_limiter.inbox,
+                table=target_table.inbox,
+                find_channel=attempt_channels.find_channel,
+                host=locality.host,
+            ),
         )
         ledger_client = LedgerClient(self._link_pool, control_directory)
         action_runner = ActionRunner(ledger=ledger_client, timers=self._timers, metrics=metrics)
@@ -349,6 +359,7 @@
             path_prober,
             traffic_limiter,
             quota_client,
+            retry_pools,
             self._front,
             CallerGuard(self._caller_budget, timers=self._timers, metrics=metrics),
             action_runner,
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -7,7 +7,7 @@
 
 from samphirespring.process.detection.fault_risk import FaultModel
 from samphirespring.process.ids import HostId, TargetId
-from samphirespring.process.targets import Locality, TargetLoad
+from samphirespring.process.targets import Locality, TargetLoad, TargetSheds
 from samphirespring.process.work.target_backlog import TargetBacklog
 from samphirespring.request.selection import (
     Candidate,
@@ -35,6 +35,7 @@
         risk_reported_at_s: Time of that report, in seconds of monotonic time.
         sent_at_s: Start of the latest attempt on the target, in seconds of monotonic time.
         backlog: What the target still has to do.
+        sheds: What the target sheds as last reported by the agent.
     """
 
     candidate: Candidate
@@ -45,6 +46,7 @@
     risk_reported_at_s: float = -math.inf
     sent_at_s: float = -math.inf
     backlog: TargetBacklog = msgspec.field(default_factory=TargetBacklog)
+    sheds: TargetSheds | None = None
 
     def estimate_risk(self, model: FaultModel | None, now_s: float) -> float | None:
         """Return the probability that the target is in a fault now.
@@ -59,8 +61,8 @@
             return model.share
         return model.decay(self.risk, now_s - self.risk_reported_at_s)
 
-    def estimate_room(self, now_s: float) -> float:
-        """Estimate the free slots; below 0, the number of attempts that wait for one.
+    def estimate_free_slots(self, now_s: float) -> float:
+        """Estimate the free slots.
 
         The reported load of other fronts decays; the attempts of this front count in full.
 
@@ -70,7 +72,7 @@
         slots = self.candidate.load.slots
         load_weight = math.exp(-max(0.0, now_s - self.load_reported_at_s) / LOAD_DECAY_S)
         free_without_own = slots - (slots - self.free_without_own) * load_weight
-        return min(float(slots), free_without_own) - self.in_flight
+        return max(0.0, min(float(slots), free_without_own) - self.in_flight)
 
     def make_choice(
         self, model: FaultModel | None, *, work_s: float | None, now_s: float
@@ -82,15 +84,15 @@
             work_s: Expected work of the request, in seconds; None if it isn't known.
             now_s: Monotonic time, in seconds.
         """
-        room = self.estimate_room(now_s)
-        free_slots = max(0.0, room)
+        free_slots = self.estimate_free_slots(now_s)
         return Choice(
             candidate=self.candidate,
             free_slots=free_slots,
-            waiting=max(0.0, -room),
+            waiting=max(0, self.in_flight - self.candidate.load.slots),
             risk=self.estimate_risk(model, now_s),
             risk_age_s=now_s - self.risk_reported_at_s,
             sent_age_s=now_s - self.sent_at_s,
+            sheds=self.sheds,
             expected=self.estimate_time(work_s, free_slots=free_slots, now_s=now_s),
         )
 
@@ -108,6 +110,7 @@
         if load.risk is not None:
             self.risk = load.risk
             self.risk_reported_at_s = now_s
+            self.sheds = load.sheds
         if load.work is not None:
             running = load.slots - load.free_slots
             self.backlog.use_report(load.work, running=running, now_s=now_s)
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -29,6 +29,7 @@
 from samphirespring.process.registry.held_hosts import HeldHosts
 from samphirespring.process.registry.record_check import find_problem, select_valid
 from samphirespring.process.service_pool import ServicePool
+from samphirespring.process.shedding.shedding_services import SheddingServices
 from samphirespring.process.target_advice import TargetAdvice
 from samphirespring.process.target_table_messages import (
     ApplyDelta,
@@ -61,6 +62,7 @@
 from samphirespring.request.risk_selection import RiskSelector
 from samphirespring.request.scheduler_choice import choose_scheduler
 from samphirespring.request.selection import Candidate, Selector, group_by_distance
+from samphirespring.request.shedding_selection import count_sheds_as_load
 from samphirespring.version.document import FleetSection, ServicePolicy
 from samphirespring.version.ids import ServiceName
 
@@ -107,6 +109,7 @@
         self._subset_size = FleetSection().subset_size
         self._advice = TargetAdvice(generator or random.Random())
         self._risk_selector = RiskSelector(generator or random.Random())
+        self._shedding = SheddingServices()
         self._models: dict[ServiceName, FaultModel] = {}
         self._costs = ServiceCosts()
         self._excluded: dict[ServiceName, frozenset[TargetId]] = {}
@@ -263,6 +266,8 @@
             is_retry=bool(terms.tried),
             now_s=now_s,
         )
+        if model is not None and self._shedding.is_whole(service, tiers):
+            tiers = count_sheds_as_load(tiers, model)
         if message.locality is not None:
             tiers = group_by_distance(tiers, message.locality)
         if model is None:
@@ -329,6 +334,7 @@
     def _use_policies(self, policies: Mapping[ServiceName, ServicePolicy]) -> None:
         self._advice.use_policies(policies)
         self._costs.use_policies(policies)
+        self._shedding.use_policies(policies)
         models = {service: make_fault_model(policy) for service, policy in policies.items()}
         self._models = {service: model for service, model in models.items() if model is not None}
 
--- a/src/samphirespring/process/targets.py
+++ b/src/samphirespring/process/targets.py
@@ -37,6 +37,16 @@
     nothing about its cost."""
 
 
+class TargetSheds(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
+    """What a target sheds of its requests."""
+
+    share: float
+    """Share of its latest attempts that it shed."""
+
+    fault_risk: float
+    """Probability that it is in a fault, if what it sheds is no sign of one."""
+
+
 class TargetLoad(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
     """State of a target that its agent reports with each response."""
 
@@ -59,6 +69,9 @@
     work: TargetWork | None = None
     """What the target still has to do; None unless its service places requests by work."""
 
+    sheds: TargetSheds | None = None
+    """What it sheds; None if next to nothing."""
+
 
 class TargetRecord(msgspec.Struct, frozen=True, kw_only=True, gc=False, array_like=True):
     """One target in the registry and in the tables of the fronts."""
--- a/src/samphirespring/request/messages.py
+++ b/src/samphirespring/request/messages.py
@@ -88,6 +88,9 @@
     work_s: float | None = None
     """Expected work, in seconds of a target of usual speed; None if the front expects nothing."""
 
+    sheds_are_load: bool = False
+    """Whether what the target sheds is no sign of a fault, as most targets of its service shed."""
+
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="head"):
     """Status and headers of the response."""
--- a/src/samphirespring/request/risk_selection.py
+++ b/src/samphirespring/request/risk_selection.py
@@ -32,10 +32,8 @@
 """Cost of a target with all but one slot in use; it falls as the share of free slots grows."""
 
 FULL_COST = 0.3
-"""Cost of a target without a free slot."""
-
-WAITING_COST = 0.1
-"""Added cost of a target at which as many attempts wait as it has slots; fewer cost their share."""
+"""Cost of a target without a free slot, and once more of one at which as many attempts wait as it
+has slots."""
 
 LATE_COST = 0.3
 """Cost of a target at which the request is expected to take just the time of its aim. Being late
@@ -269,7 +267,7 @@
 
 def _compute_cost(choice: Choice, tried: Collection[TargetId], aim_s: float) -> float:
     """Return the cost of a target other than that of its distance."""
-    cost = _get_risk(choice) + _compute_load_cost(choice, aim_s)
+    cost = _get_risk(choice) + choice.shed_cost + _compute_load_cost(choice, aim_s)
     if choice.candidate.target in tried:
         cost += TRIED_COST
     return cost
@@ -279,7 +277,8 @@
     """Return the cost of what the target has to do, and of how long it would take."""
     slots = choice.candidate.load.slots
     is_full = choice.free_slots < 1.0
-    full_cost = FULL_COST + WAITING_COST * min(1.0, choice.waiting / slots)
+    # Each attempt that waits already makes it likelier that one more gets no slot in time.
+    full_cost = FULL_COST * (1.0 + min(1.0, choice.waiting / slots))
     used_share = 1.0 - min(1.0, choice.free_slots / slots)
     if choice.expected is None:
         return full_cost if is_full else BUSY_COST * used_share
--- a/src/samphirespring/request/selection.py
+++ b/src/samphirespring/request/selection.py
@@ -11,7 +11,7 @@
 from samphirespring.process.detection.target_evaluator import DetectionTerms
 from samphirespring.process.ids import Incarnation, TargetId
 from samphirespring.process.states import TargetCondition, TargetPhase
-from samphirespring.process.targets import Locality, TargetLoad
+from samphirespring.process.targets import Locality, TargetLoad, TargetSheds
 
 CONDITION_WEIGHTS = {TargetCondition.SUSPECT: 0.5}
 """Factors on the free slots by condition; targets in other conditions count in full."""
@@ -68,14 +68,17 @@
     expected: ExpectedTime | None = None
     """Time that the request was expected to take; None unless requests are placed by work."""
 
+    service_sheds: bool = False
+    """Whether most targets of the service shed, and its policy plans retries for that."""
+
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A candidate with its current estimates."""
 
     candidate: Candidate
     free_slots: float
-    waiting: float = 0.0
-    """Attempts of the table's own fronts that wait for a slot."""
+    waiting: int = 0
+    """Attempts that this table selected it for beyond its slots."""
 
     risk: float | None = None
     """Probability that it is in a fault now; None if the service's policy has no suspicion."""
@@ -89,6 +92,12 @@
     expected: ExpectedTime | None = None
     """Time that the request is expected to take; None unless requests are placed by work."""
 
+    sheds: TargetSheds | None = None
+    """What it sheds, as last reported; None if next to nothing."""
+
+    shed_cost: float = 0.0
+    """Cost of the chance that it sheds the request, where that is no sign of a fault."""
+
 
 class Distance(IntEnum):
     """Distance of a target from the front; nearer targets are preferred."""
