Retries are planned for a service where the deployment states a budget of all hosts

Cause: the platform's adapter switched the plan on for every deployment. Change: `retry_plan: by_service` only where the settings bound the retries of the whole fleet (`retry-budget-ratio`); others keep each front's own budget. The reason of POOLED_BUDGET_SHARE is said.

--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -1,5 +1,6 @@
 """Adapter for the platform's protocols at a control host."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from samphirespring.platform.configuration import ServiceDefaults
@@ -18,8 +19,11 @@
 
 
 POOLED_BUDGET_SHARE = 0.84
-"""Share of the fleet's retry budget that hosts may spend that grant retries for many fronts. What
-few of the retries of refused attempts run, and make calls, needs a smaller rest."""
+"""Share of the fleet's retry budget that hosts may spend that grant retries for many fronts.
+
+The rest is for the calls of retries that run, as above, and for what is spent twice if such a host
+fails: about half of the retries run, the others are refused again.
+"""
 
 
 class PlatformControlAdapter(ControlAdapter):
@@ -36,18 +40,25 @@
         """Return the ASGI application for the operator."""
         return ConfigurationApp(
             components.documents,
-            defaults=_read_defaults(self._settings),
+            defaults=read_defaults(self._settings.bounds),
             operator_port=self._settings.operator_port,
         ).make_app()
 
 
-def _read_defaults(settings: PlatformControlSettings) -> ServiceDefaults:
-    bounds = settings.bounds
+def read_defaults(bounds: Mapping[str, str | float | bool]) -> ServiceDefaults:
+    """Return the values that a deployment sets for all services.
+
+    Retries are planned for a service as a whole where the deployment has a budget of all hosts.
+
+    Args:
+        bounds: Limits of the deployment by name.
+    """
+    has_budget = "retry-budget-ratio" in bounds
     return ServiceDefaults(
         floor=float(bounds.get("floor-share", "0.7")),
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
-        retry_plan=RetryPlan.BY_SERVICE,
+        retry_plan=RetryPlan.BY_SERVICE if has_budget else RetryPlan.BY_FRONT,
         pooled_retry_factor=POOLED_BUDGET_SHARE / FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
     )
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -18,6 +18,7 @@
     ServiceDefaults,
     translate_configuration,
 )
+from samphirespring.platform.control_adapter import read_defaults
 from samphirespring.platform.operator_http import ConfigurationApp
 from samphirespring.platform.settings import PlatformControlSettings, PlatformNodeSettings
 from samphirespring.platform.units import parse_seconds
@@ -517,6 +518,27 @@
     assert context.caller_head.status == status, context.caller_head
 
 
+@when("a configuration is submitted to a deployment with the bounds {bounds}")
+def step_submit_with_bounds(context, bounds):
+    defaults = read_defaults(dict(bound.split("=") for bound in bounds.split(", ")))
+    resource = {"type": "services", "metadata": {"name": "s"}, "spec": {}}
+    text = json.dumps({"version": 1, "resources": [resource]}).encode()
+    sections = translate_configuration(text, defaults=defaults).sections
+    context.service = json.loads(sections[OPERATOR_SECTION])["services"]["s"]
+
+
+@then(
+    "its service allows {share:g} retries a request, {pooled:g} if many fronts share them,"
+    " and {floor:g} more in {window:g} s, planned {plan}"
+)
+def step_check_retry_budget(context, share, pooled, floor, window, plan):
+    service = context.service
+    values = [service[name] for name in ("retry_share", "retry_floor", "retry_window_s")]
+    assert [round(value, 6) for value in values] == [share, floor, window], service
+    assert service["retry_plan"] == plan, service
+    assert round(service["retry_share"] * service["pooled_retry_factor"], 6) == pooled, service
+
+
 @when("the deployment templates are rendered")
 def step_render_templates(context):
     values = {
