samphirectl check: likely mistakes of a document, and its differences from another, before it is sent

Cause: a valid document may hold entries that never have an effect (a host with a port, a prefix with a query, a service without a route, a workspace without a key where others have some) or limits that contradict each other; operators saw that only by what didn't happen.

--- a/src/samphirespring/process/operation/tables.py
+++ b/src/samphirespring/process/operation/tables.py
@@ -15,6 +15,7 @@
 from samphirespring.process.document.in_force import DomainProgress
 from samphirespring.process.operation.dump_tables import format_value
 from samphirespring.process.operation.explanation import ExplanationStep
+from samphirespring.version.document_check import DocumentReport
 
 DIGEST_CHARACTERS = 12
 
@@ -31,6 +32,20 @@
     return table
 
 
+def make_report_table(report: DocumentReport) -> Table:
+    """Return a table of what a check of a document found, and of its differences from another.
+
+    Args:
+        report: The result of the check.
+    """
+    table = Table("what", "where", "detail")
+    for finding in report.findings:
+        table.add_row(finding.kind.value, escape(finding.path), escape(finding.detail))
+    for change in report.changes:
+        table.add_row(change.kind.value, escape(change.entry), ", ".join(change.fields))
+    return table
+
+
 def make_history_table(view: HistoryView) -> Table:
     """Return a table of accepted changes.
 
--- a/src/samphirespring/process/programs/ctl.py
+++ b/src/samphirespring/process/programs/ctl.py
@@ -37,11 +37,16 @@
     make_history_table,
     make_host_table,
     make_progress_table,
+    make_report_table,
     make_status_table,
 )
 from samphirespring.process.operation.waiting import wait_until_in_force
 from samphirespring.process.timers import MonotonicTimerService
-from samphirespring.version.ids import DocumentVersion
+from samphirespring.version.document import Document
+from samphirespring.version.document_changes import compare_documents
+from samphirespring.version.document_check import DocumentReport, check_document
+from samphirespring.version.ids import DocumentVersion, SectionName
+from samphirespring.version.parser import DocumentInvalidError, build_document, split_document
 
 BodyT = TypeVar("BodyT")
 
@@ -181,6 +186,30 @@
         exit_with_usage_error("give a file, or --from and --to")
 
 
+@app.command()
+def check(
+    context: typer.Context,
+    files: Annotated[list[Path], typer.Argument(help="Files with JSON texts of sections by name.")],
+    against: Annotated[
+        Path | None, typer.Option(help="File with the document to show the differences from.")
+    ] = None,
+) -> None:
+    """Check a document before it is sent: problems, entries without effect, odd limits."""
+    session: CommandSession = context.obj
+    try:
+        document = _merge_files(files)
+        before = None if against is None else _merge_files([against])
+    except DocumentInvalidError as error:
+        for problem in error.problems:
+            typer.echo(problem, err=True)
+        sys.exit(ExitStatus.INVALID.value)
+    report = DocumentReport(
+        findings=check_document(document),
+        changes=() if before is None else compare_documents(before, document),
+    )
+    session.show(report, make_report_table(report))
+
+
 @app.command()
 def history(
     context: typer.Context,
@@ -351,6 +380,14 @@
     return "".join(f"{line}\n" for line in lines)
 
 
+def _merge_files(files: list[Path]) -> Document:
+    """Return the document of all files; later ones replace the sections of earlier ones."""
+    texts: dict[SectionName, bytes] = {}
+    for file in files:
+        texts |= split_document(_read_file(file))
+    return build_document(texts, version=DocumentVersion(1))
+
+
 def _read_file(path: Path) -> bytes:
     try:
         return path.read_bytes()
