--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -1,5 +1,6 @@
 """Adapter for the platform's protocols at a control host."""
 
+from collections.abc import Collection, Mapping
 from typing import Any
 
 from samphirespring.platform.configuration import DeploymentDefaults
@@ -25,10 +26,12 @@
 too.
 """
 
-
 POOLED_BUDGET_SHARE = 0.84
-"""Share of the fleet's retry budget that hosts may spend that grant retries for many fronts. What
-few of the retries of refused attempts run, and make calls, needs a smaller rest."""
+"""Share of the fleet's retry budget that hosts may spend that grant retries for many fronts.
+
+The rest is for the calls of retries that run, as above, and for what is spent twice if such a host
+fails: about half of the retries run, the others are refused again.
+"""
 
 
 class PlatformControlAdapter(ControlAdapter):
@@ -45,40 +48,44 @@
         """Return the ASGI application for the operator."""
         return ConfigurationApp(
             components.documents,
-            defaults=read_defaults(self._settings),
+            defaults=read_defaults(self._settings.bounds, contracts=self._settings.contracts),
             operator_port=self._settings.operator_port,
         ).make_app()
 
 
-def read_defaults(settings: PlatformControlSettings) -> DeploymentDefaults:
+def read_defaults(
+    bounds: Mapping[str, str | float | bool], *, contracts: Collection[str] = ()
+) -> DeploymentDefaults:
     """Return what the deployment sets for all services and tenants.
 
+    Retries are planned for a service as a whole where the deployment has a budget of all hosts.
+
     Args:
-        settings: The settings of a control host.
+        bounds: Limits of the deployment by name.
+        contracts: Parts of the platform's rules that are in force.
     """
-    bounds = settings.bounds
+    has_budget = "retry-budget-ratio" in bounds
     return DeploymentDefaults(
         floor=float(bounds.get("floor-share", "0.7")),
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
-        retry_plan=RetryPlan.BY_SERVICE,
+        retry_plan=RetryPlan.BY_SERVICE if has_budget else RetryPlan.BY_FRONT,
         pooled_retry_factor=POOLED_BUDGET_SHARE / FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
-        admission=_read_admission(settings),
-        key_lease_ms=_read_key_lease_ms(settings),
+        admission=_read_admission(contracts),
+        key_lease_ms=_read_key_lease_ms(bounds),
         quota_overshoot=float(bounds.get("quota-overshoot", "0")),
         quota_slack=int(bounds.get("quota-slack", "0")),
         quota_window_s=parse_seconds(str(bounds.get("quota-window", "5s"))),
     )
 
 
-def _read_admission(settings: PlatformControlSettings) -> AdmissionMode:
+def _read_admission(contracts: Collection[str]) -> AdmissionMode:
     """Let attempts wait in an order where the contract on load beyond the targets' room holds."""
-    return AdmissionMode.QUEUE if PRESSURE_CONTRACT in settings.contracts else AdmissionMode.BRIEF
+    return AdmissionMode.QUEUE if PRESSURE_CONTRACT in contracts else AdmissionMode.BRIEF
 
 
-def _read_key_lease_ms(settings: PlatformControlSettings) -> int:
-    bounds = settings.bounds
+def _read_key_lease_ms(bounds: Mapping[str, str | float | bool]) -> int:
     # A truth value may come as text: bounds are also given as `name=value`.
     if str(bounds.get("strict-revoke", False)).lower() != "true":
         return 0
