Plan retries of shedding services, and weigh waiting attempts, only where a deployment asks for it

Two changes reached deployments that didn't ask for them: the retry plan, and the cost of a full target that grows with the attempts beyond its slots. Change: the adapter plans retries by service only with the contract on load beyond the targets' room; the cost counts waiting attempts only for services whose attempts wait in an order. Conclusion: what is new takes effect only where it is asked for.

--- a/src/samphirespring/platform/control_adapter.py
+++ b/src/samphirespring/platform/control_adapter.py
@@ -58,21 +58,23 @@
 ) -> DeploymentDefaults:
     """Return what the deployment sets for all services and tenants.
 
-    Retries are planned for a service as a whole where the deployment has a budget of all hosts.
+    Where the contract on load beyond the targets' room holds, attempts wait in an order, and
+    retries are planned for a service as a whole within the budget of all hosts.
 
     Args:
         bounds: Limits of the deployment by name.
         contracts: Parts of the platform's rules that are in force.
     """
+    has_pressure = PRESSURE_CONTRACT in contracts
     has_budget = "retry-budget-ratio" in bounds
     return DeploymentDefaults(
         floor=float(bounds.get("floor-share", "0.7")),
         retry_share=float(bounds.get("retry-budget-ratio", "0.1")) * FRONT_BUDGET_SHARE,
         retry_floor=float(bounds.get("retry-budget-slack", "12")) * FRONT_BUDGET_SHARE,
-        retry_plan=RetryPlan.BY_SERVICE if has_budget else RetryPlan.BY_FRONT,
+        retry_plan=RetryPlan.BY_SERVICE if has_pressure and has_budget else RetryPlan.BY_FRONT,
         pooled_retry_factor=POOLED_BUDGET_SHARE / FRONT_BUDGET_SHARE,
         retry_window_s=parse_seconds(str(bounds.get("budget-window", "60s"))),
-        admission=_read_admission(contracts),
+        admission=AdmissionMode.QUEUE if has_pressure else AdmissionMode.BRIEF,
         key_lease_ms=_read_key_lease_ms(bounds),
         quota_overshoot=float(bounds.get("quota-overshoot", "0")),
         quota_slack=int(bounds.get("quota-slack", "0")),
@@ -80,11 +82,6 @@
     )
 
 
-def _read_admission(contracts: Collection[str]) -> AdmissionMode:
-    """Let attempts wait in an order where the contract on load beyond the targets' room holds."""
-    return AdmissionMode.QUEUE if PRESSURE_CONTRACT in contracts else AdmissionMode.BRIEF
-
-
 def _read_key_lease_ms(bounds: Mapping[str, str | float | bool]) -> int:
     # A truth value may come as text: bounds are also given as `name=value`.
     if str(bounds.get("strict-revoke", False)).lower() != "true":
--- a/src/samphirespring/process/service_pool.py
+++ b/src/samphirespring/process/service_pool.py
@@ -75,7 +75,12 @@
         return max(0.0, min(float(slots), free_without_own) - self.in_flight)
 
     def make_choice(
-        self, model: FaultModel | None, *, work_s: float | None, now_s: float
+        self,
+        model: FaultModel | None,
+        *,
+        work_s: float | None,
+        now_s: float,
+        counts_waiting: bool,
     ) -> Choice:
         """Return the target with its current estimates.
 
@@ -83,12 +88,13 @@
             model: Fault model of the service; None if faults aren't tracked.
             work_s: Expected work of the request, in seconds; None if it isn't known.
             now_s: Monotonic time, in seconds.
+            counts_waiting: Whether attempts beyond the slots wait at the target.
         """
         free_slots = self.estimate_free_slots(now_s)
         return Choice(
             candidate=self.candidate,
             free_slots=free_slots,
-            waiting=max(0, self.in_flight - self.candidate.load.slots),
+            waiting=self._count_waiting() if counts_waiting else 0,
             risk=self.estimate_risk(model, now_s),
             risk_age_s=now_s - self.risk_reported_at_s,
             sent_age_s=now_s - self.sent_at_s,
@@ -96,6 +102,9 @@
             expected=self.estimate_time(work_s, free_slots=free_slots, now_s=now_s),
         )
 
+    def _count_waiting(self) -> int:
+        return max(0, self.in_flight - self.candidate.load.slots)
+
     def update_load(self, load: TargetLoad, *, now_s: float) -> None:
         """Update the load from the end of one of the front's attempts.
 
@@ -256,6 +265,7 @@
         model: FaultModel | None = None,
         is_shared: bool = False,
         work_s: float | None = None,
+        counts_waiting: bool = False,
     ) -> Sequence[Sequence[Choice]]:
         """Return the targets that the front uses, by distance, with their estimated free slots.
 
@@ -267,6 +277,7 @@
             is_shared: Whether the front selects for its neighbours. It then uses all targets of its
                 region: what it leaves out gets nothing from any of them.
             work_s: Expected work of the request, in seconds; None if it isn't known.
+            counts_waiting: Whether attempts beyond the slots wait at the target.
         """
         whole = Distance.SAME_REGION if is_shared else Distance.SAME_HOST
         tiers = self._tiers.get(whole)
@@ -274,7 +285,10 @@
             tiers = self._choose_tiers(region_hosts, subset_size, whole)
             self._tiers[whole] = tiers
         return [
-            [member.make_choice(model, work_s=work_s, now_s=now_s) for member in tier]
+            [
+                member.make_choice(model, work_s=work_s, now_s=now_s, counts_waiting=counts_waiting)
+                for member in tier
+            ]
             for tier in tiers
         ]
 
--- a/src/samphirespring/process/target_table.py
+++ b/src/samphirespring/process/target_table.py
@@ -65,6 +65,7 @@
 from samphirespring.request.shedding_selection import count_sheds_as_load
 from samphirespring.version.document import FleetSection, ServicePolicy
 from samphirespring.version.ids import ServiceName
+from samphirespring.version.states import AdmissionMode
 
 INBOX_CAPACITY = 10_000
 PROBE_CAPACITY = 1_000
@@ -107,6 +108,9 @@
         self._traffic_limiter = traffic_limiter
         self._quotas = quotas
         self._subset_size = FleetSection().subset_size
+        self._queueing: frozenset[ServiceName] = frozenset()
+        """Services whose attempts wait at full targets in an order."""
+
         self._advice = TargetAdvice(generator or random.Random())
         self._risk_selector = RiskSelector(generator or random.Random())
         self._shedding = SheddingServices()
@@ -259,6 +263,7 @@
                 now_s=now_s,
                 model=model,
                 is_shared=message.is_shared,
+                counts_waiting=service in self._queueing,
                 work_s=work_s,
             ),
             service=service,
@@ -335,6 +340,11 @@
         self._advice.use_policies(policies)
         self._costs.use_policies(policies)
         self._shedding.use_policies(policies)
+        self._queueing = frozenset(
+            service
+            for service, policy in policies.items()
+            if policy.admission is AdmissionMode.QUEUE
+        )
         models = {service: make_fault_model(policy) for service, policy in policies.items()}
         self._models = {service: model for service, model in models.items() if model is not None}
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -280,13 +280,14 @@
       | an error 504 with the outcome "unknown"      | 504    |
 
   Scenario Outline: Services get the retry budget that the deployment's bounds state
-    When a configuration is submitted to a deployment with the bounds <bounds>
+    When a configuration is submitted to a deployment with the contract <contract> and the bounds <bounds>
     Then its service allows <share> retries a request, <pooled> if many fronts share them, and <floor> more in <window> s, planned <plan>
 
     Examples:
-      | bounds                                                            | share | pooled | floor | window | plan       |
-      | retry-budget-ratio=0.2, retry-budget-slack=164, budget-window=10s | 0.12  | 0.15   | 98.4  | 10     | by_service |
-      | floor-share=0.7                                                   | 0.06  | 0.075  | 7.2   | 60     | by_front   |
+      | contract | bounds                                                            | share | pooled | floor | window | plan       |
+      | pressure | retry-budget-ratio=0.2, retry-budget-slack=164, budget-window=10s | 0.12  | 0.15   | 98.4  | 10     | by_service |
+      | pool     | retry-budget-ratio=0.2, retry-budget-slack=164, budget-window=10s | 0.12  | 0.15   | 98.4  | 10     | by_front   |
+      | pressure | floor-share=0.7                                                   | 0.06  | 0.075  | 7.2   | 60     | by_front   |
 
   Scenario: Settings rendered from the deployment templates
     When the deployment templates are rendered
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -706,9 +706,13 @@
     assert context.caller_head.status == status, context.caller_head
 
 
-@when("a configuration is submitted to a deployment with the bounds {bounds}")
-def step_submit_with_bounds(context, bounds):
-    defaults = read_defaults(dict(bound.split("=") for bound in bounds.split(", ")))
+@when(
+    "a configuration is submitted to a deployment with the contract {contract} and the bounds"
+    " {bounds}"
+)
+def step_submit_with_bounds(context, contract, bounds):
+    values = dict(bound.split("=") for bound in bounds.split(", "))
+    defaults = read_defaults(values, contracts=(contract,))
     resource = {"type": "services", "metadata": {"name": "s"}, "spec": {}}
     text = json.dumps({"version": 1, "resources": [resource]}).encode()
     sections = translate_configuration(text, defaults=defaults).sections
--- a/tests/front/shedding_load.py
+++ b/tests/front/shedding_load.py
@@ -357,7 +357,12 @@
     def choose(self, request):
         now_s = self.load.now_s
         tiers = self.pool.list_choices(
-            region_hosts=(), subset_size=20, now_s=now_s, model=MODEL, is_shared=True
+            region_hosts=(),
+            subset_size=20,
+            now_s=now_s,
+            model=MODEL,
+            is_shared=True,
+            counts_waiting=True,
         )
         if self.services.is_whole("s", tiers):
             tiers = count_sheds_as_load(tiers, MODEL)
