Waiting for room: a target that leaves gives its waiting attempts back

Cause: attempts that wait for a slot were checked against a drain only when they came. A target that announced that it drains kept its queue, so waiting attempts reached it for as long as they wait, seconds after the acknowledgement (DRAIN). A stopping process, whose drain admits only what ends before its callers are served, started waiting attempts after that time (LOST). Change: an announcement refuses what waits at targets that drain; each start checks the target's state again. Conclusion: what holds for an attempt that comes holds for one that has waited.

--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -191,6 +191,10 @@
     def _check_refusal(self, target: LocalTarget, remaining_ms: int) -> RefusalCode | None:
         if remaining_ms <= 0:
             return RefusalCode.EXPIRED
+        return self._check_state(target)
+
+    def _check_state(self, target: LocalTarget) -> RefusalCode | None:
+        """Return why a target takes no attempts now, or None."""
         if self._is_draining(target) or target.announcement.phase is not TargetPhase.SERVING:
             return RefusalCode.DRAINING
         if not self._policies.has_policy_for(target.announcement):
@@ -251,8 +255,9 @@
 
     def _recheck(self, target: LocalTarget, request: AttemptRequest) -> RefusalCode | None:
         """Return why an attempt that has waited isn't started after all, or None."""
-        if not target.queue.rechecks_suspicion:
-            return None
+        code = self._check_state(target)
+        if code is not None or not target.queue.rechecks_suspicion:
+            return code
         return self._check_suspicion(target, request)
 
     def _start(self, target: LocalTarget, request: AttemptRequest) -> Admission:
@@ -260,7 +265,7 @@
 
     def _refuse_waiting(self) -> None:
         for target in self._targets:
-            if self._is_draining(target):
+            if self._check_state(target) is RefusalCode.DRAINING:
                 target.queue.refuse_all(RefusalCode.DRAINING)
 
     def _finish(self, message: FinishAttempt) -> TargetLoad:
@@ -342,6 +347,7 @@
         now_s = self._timers.read_now_s()
         if self._targets.announce(target_id, announcement, now_s=now_s) and serves:
             self._departure_recorder.forget(target_id)
+        self._refuse_waiting()
         receipt = AnnouncementReceipt(
             target=target_id, incarnation=self.incarnation, lease_s=self._lease_s
         )
--- a/tests/features/steps/waiting_steps.py
+++ b/tests/features/steps/waiting_steps.py
@@ -9,12 +9,14 @@
 
 from front.agent_load import LoadedAgent, make_attempt
 from samphirespring.process.agent.admission_queue import Admission, SlotPace, Waiter
+from samphirespring.process.agent.agent_messages import DrainHost
 from samphirespring.process.agent.waiting_room import WaitingRoom
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.detection.summaries import encode_log_latency
 from samphirespring.process.detection.target_evaluator import DetectionTerms
 from samphirespring.process.mailbox import ReplySlot
+from samphirespring.process.states import TargetPhase
 from samphirespring.request.states import RefusalCode
 from samphirespring.version.document import ServicePolicy, SuspicionPolicy
 from samphirespring.version.states import AdmissionMode, DetectionMode, PriorityClass
@@ -258,3 +260,58 @@
 def step_check_offers(context, waiting, refused, code):
     assert context.codes == [None] * waiting + [RefusalCode(code)] * refused, context.codes
     assert len(context.queue) == waiting
+
+
+def play_event(context, count, start_event):
+    load = context.load
+
+    async def main():
+        # The agent learns from the first one how long attempts take.
+        await send(context, 0, "")
+        context.sent.clear()
+        context.began_at_s = load.timers.read_now_s()
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(send, context, 0, "")
+            await anyio.sleep(0.1)
+            await start_event(load)
+
+    load.run(main)
+
+
+@when("{count:d} actions arrive at once, and 100 ms later the target announces that it drains")
+def step_announce_drain(context, count):
+    play_event(context, count, lambda load: load.announce(phase=TargetPhase.DRAINING))
+
+
+@when("{count:d} actions arrive at once, and 100 ms later the target announces {slots:d} slots")
+def step_announce_slots(context, count, slots):
+    play_event(context, count, lambda load: load.announce(slots=slots))
+
+
+@when(
+    "{count:d} actions arrive at once, and 100 ms later its agent is to drain with {callers:d} ms"
+    " for callers"
+)
+def step_stop_agent(context, count, callers):
+    async def drain(load):
+        now_s = load.timers.read_now_s()
+        load.agent.inbox.post(
+            DrainHost(callers_end_at_s=now_s - 0.1 + callers / 1_000, ends_at_s=now_s + 60.0)
+        )
+
+    play_event(context, count, drain)
+
+
+@then('{admitted:d} of them were admitted, and the others refused with "{code}"')
+def step_check_event(context, admitted, code):
+    assert sum(sent.is_admitted for sent in context.sent) == admitted, context.sent
+    refused = [sent.result.code for sent in context.sent if not sent.is_admitted]
+    assert refused and set(refused) == {RefusalCode(code)}, refused
+
+
+@then("{count:d} attempts had started after {limit:d} ms")
+def step_check_started(context, count, limit):
+    limit_s = context.began_at_s + limit / 1_000
+    started = sum(sent.is_admitted and sent.replied_at_s <= limit_s for sent in context.sent)
+    assert started == count, started
--- a/tests/features/waiting.feature
+++ b/tests/features/waiting.feature
@@ -36,3 +36,15 @@
     Given a queue of a target with 2 slots whose pool takes 1000 ms
     When 6 actions with deadlines of 2700 ms arrive while both slots are taken
     Then 3 wait, and 3 are refused with "no_slot"
+
+  # Guards against attempts that wait for seconds and then reach a target that meanwhile says that it leaves, or start in a
+  # process that stops before they can end.
+  Scenario Outline: Attempts that wait are given back once their target takes no new ones
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 12 actions arrive at once, and 100 ms later <event>
+    Then <admitted> of them were admitted, and the others refused with "draining"
+
+    Examples:
+      | event                                               | admitted |
+      | the target announces that it drains                 | 4        |
+      | its agent is to drain with 1500 ms for callers      | 8        |
--- a/tests/front/agent_load.py
+++ b/tests/front/agent_load.py
@@ -16,6 +16,7 @@
 )
 from samphirespring.process.mailbox import ask
 from samphirespring.process.metrics.metrics import NullMetrics
+from samphirespring.process.states import TargetPhase
 from samphirespring.process.targets import Locality
 from samphirespring.request.messages import AttemptRequest
 from samphirespring.version.document import ResponseCheck, ServicePolicy
@@ -54,9 +55,14 @@
 
         anyio.run(run_main, backend_options={"loop_factory": VirtualLoop})
 
-    async def announce(self):
+    async def announce(self, *, slots=None, phase=TargetPhase.SERVING):
         """Announce the only target."""
-        announcement = Announcement(service="s", address="127.0.0.1:1", slots=self.announced_slots)
+        announcement = Announcement(
+            service="s",
+            address="127.0.0.1:1",
+            slots=self.announced_slots if slots is None else slots,
+            phase=phase,
+        )
         await ask(
             self.agent.inbox,
             lambda reply: AnnounceTarget(target="t", announcement=announcement, reply=reply),
