Waiting for room: slots that an announcement adds are used at once

Cause: an announcement may raise the slots of a target, but only the end of an attempt and a new document started what waits. The new slots stayed free until one of the running attempts ended. Change: the agent starts what waits after each announcement, too. Conclusion: no slot stays free while attempts wait.

--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -348,6 +348,10 @@
         if self._targets.announce(target_id, announcement, now_s=now_s) and serves:
             self._departure_recorder.forget(target_id)
         self._refuse_waiting()
+        target = self._targets.find(target_id)
+        if target is not None:
+            # It may have announced more slots.
+            self._admit_waiting(target)
         receipt = AnnouncementReceipt(
             target=target_id, incarnation=self.incarnation, lease_s=self._lease_s
         )
--- a/tests/features/waiting.feature
+++ b/tests/features/waiting.feature
@@ -48,3 +48,9 @@
       | event                                               | admitted |
       | the target announces that it drains                 | 4        |
       | its agent is to drain with 1500 ms for callers      | 8        |
+
+  # Guards against slots that stay free until another attempt ends.
+  Scenario: An announcement with more slots starts attempts that wait
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 12 actions arrive at once, and 100 ms later the target announces 8 slots
+    Then 8 attempts had started after 200 ms
