Waiting for room: attempts whose callers have left give up their places

Cause: the runner waited for a slot outside the scope that a front's disconnect cancels, so the agent took every such attempt for a waiting one until its turn came. It counted in the expected wait of the others, which were refused with 'no_slot' though there was time; and a keyed action that was dropped then was recorded as started, without an end. Change: a scope of the wait is cancelled, too; the agent drops the abandoned attempt at the next arrival or start, and starts none that was abandoned on its way. The guard gets a refusal for a dropped action. Conclusion: only attempts that somebody waits for take part in the order.

--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -167,6 +167,9 @@
                 message.reply.send(self._make_dump())
 
     def _admit(self, message: AdmitAttempt) -> None:
+        if message.reply.abandoned:
+            # Nobody would release its slot.
+            return
         request = message.request
         target = self._targets.find(request.target)
         if target is None or target.announcement.service != request.service:
--- a/src/samphirespring/process/agent/waiting_room.py
+++ b/src/samphirespring/process/agent/waiting_room.py
@@ -67,6 +67,7 @@
 
         Attempts behind it that can't be in time any more are refused as well, at once.
         """
+        self._refuse_expired(now_s)
         self._waiters.append(waiter)
         for refused in self._list_late(pace, now_s=now_s):
             self._waiters.remove(refused)
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -19,7 +19,7 @@
 )
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.frame_batcher import FrameBatcher
-from samphirespring.process.mailbox import InboxFullError, Mailbox, ask, ask_always
+from samphirespring.process.mailbox import InboxFullError, Mailbox, ReplySlot, ask_always
 from samphirespring.process.queued_frames import QueuedFrames
 from samphirespring.process.stall_watch import AttemptWait, StallWatch
 from samphirespring.process.targets import TargetLoad
@@ -50,28 +50,31 @@
         request: The attempt.
         body: Provides the request's body if it isn't part of the request.
         sink: Receives the frames.
-        cancel_scope: Scope of an idempotent attempt; cancelled when the front disconnects.
+        wait_scope: Scope of the wait for a slot; cancelled when the front disconnects.
+        cancel_scope: Scope of an idempotent attempt that runs; cancelled at the same time.
     """
 
     request: AttemptRequest
     body: BodySource | None
     sink: FrameSink
+    wait_scope: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     cancel_scope: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
 
 
 class _ScopeHandle(AttemptHandle):
-    """Cancels an attempt by its scope.
+    """Cancels an attempt by its scopes.
 
     Args:
-        cancel_scope: The scope.
+        message: The message that starts the attempt.
     """
 
-    def __init__(self, cancel_scope: anyio.CancelScope) -> None:
-        self._cancel_scope = cancel_scope
+    def __init__(self, message: StartAttempt) -> None:
+        self._message = message
 
     def cancel(self) -> None:
-        """Cancel the attempt if it is idempotent."""
-        self._cancel_scope.cancel()
+        """Cancel the attempt if it waits for a slot or is idempotent."""
+        self._message.wait_scope.cancel()
+        self._message.cancel_scope.cancel()
 
 
 class AttemptRunnerDump(StateDump, frozen=True, kw_only=True):
@@ -142,7 +145,7 @@
         """Start an attempt, which sends its frames to a sink and then closes the sink."""
         message = StartAttempt(request=request, body=body, sink=sink)
         self.inbox.post(message)
-        return _ScopeHandle(message.cancel_scope)
+        return _ScopeHandle(message)
 
     async def handle_attempt(self, request: AttemptRequest) -> AsyncGenerator[FrameBatch, None]:
         """Run an attempt for a front and yield its frame batches; closing abandons the attempt.
@@ -172,7 +175,7 @@
         with closing(message.sink):
             batcher = FrameBatcher(message.sink)
             deadline_at_s = self._timers.read_now_s() + message.request.remaining_ms / 1_000
-            admission = await self._admit(message.request)
+            admission = await self._admit(message)
             rejection = await self._check_action_start(message.request, admission)
             if rejection is not None:
                 await batcher.finish(rejection)
@@ -187,14 +190,18 @@
             with self._count_running():
                 await self._run_admitted(message, admission, batcher, deadline_at_s=deadline_at_s)
 
-    async def _admit(self, request: AttemptRequest) -> Admission | AttemptRefused:
+    async def _admit(self, message: StartAttempt) -> Admission | AttemptRefused:
+        request = message.request
+        slot: ReplySlot[Admission | AttemptRefused] = ReplySlot()
         try:
-            admission: Admission | AttemptRefused = await ask(
-                self._agent, lambda reply: AdmitAttempt(request=request, reply=reply)
-            )
+            self._agent.post(AdmitAttempt(request=request, reply=slot))
         except InboxFullError:
             return AttemptRefused(attempt=request.attempt, code=RefusalCode.SHEDDING)
-        return admission
+        with message.wait_scope:
+            await slot.wait()
+        # The agent may have replied in the same turn; then the caller releases the slot.
+        slot.abandoned = True
+        return slot.read() or AttemptRefused(attempt=request.attempt, code=RefusalCode.NO_SLOT)
 
     async def _check_action_start(
         self, request: AttemptRequest, admission: Admission | AttemptRefused
--- a/tests/features/steps/waiting_steps.py
+++ b/tests/features/steps/waiting_steps.py
@@ -11,11 +11,13 @@
 from samphirespring.process.agent.admission_queue import Admission, SlotPace, Waiter
 from samphirespring.process.agent.agent_messages import DrainHost
 from samphirespring.process.agent.waiting_room import WaitingRoom
+from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.detection.summaries import encode_log_latency
 from samphirespring.process.detection.target_evaluator import DetectionTerms
-from samphirespring.process.mailbox import ReplySlot
+from samphirespring.process.mailbox import Mailbox, ReplySlot
+from samphirespring.process.queued_frames import QueuedFrames
 from samphirespring.process.states import TargetPhase
 from samphirespring.request.states import RefusalCode
 from samphirespring.version.document import ServicePolicy, SuspicionPolicy
@@ -315,3 +317,51 @@
     limit_s = context.began_at_s + limit / 1_000
     started = sum(sent.is_admitted and sent.replied_at_s <= limit_s for sent in context.sent)
     assert started == count, started
+
+
+@when("{count:d} attempts of a front wait, the front cancels them, and {later:d} actions arrive")
+def step_cancel_waiting(context, count, later):
+    load = context.load
+    started = context.cancelled_starts = []
+
+    class WatchedUpstream:
+        """Notes each attempt that is sent to a target."""
+
+        def __getattr__(self, name):
+            started.append(name)
+            raise AttributeError(name)
+
+    async def main():
+        runner = AttemptRunner(
+            agent=load.agent.inbox,
+            guard=Mailbox(name="guard", capacity=1),
+            timers=load.timers,
+            upstream=WatchedUpstream(),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(runner.run)
+            async with anyio.create_task_group() as attempts:
+                for _ in range(load.slots):
+                    attempts.start_soon(send, context, 0, "")
+                await anyio.sleep(0.01)
+                requests = [
+                    make_attempt(ACTION, service="s", remaining_ms=DEADLINE_MS, attempt=f"c{n}")
+                    for n in range(count)
+                ]
+                handles = [
+                    runner.start(request, body=None, sink=QueuedFrames()) for request in requests
+                ]
+                await anyio.sleep(0.01)
+                for handle in handles:
+                    handle.cancel()
+                await anyio.sleep(0.01)
+                for _ in range(later):
+                    attempts.start_soon(send, context, 0, "")
+            group.cancel_scope.cancel()
+
+    load.run(main)
+
+
+@then("none of the cancelled attempts took a slot")
+def step_check_cancelled(context):
+    assert not context.cancelled_starts, context.cancelled_starts
--- a/tests/features/waiting.feature
+++ b/tests/features/waiting.feature
@@ -54,3 +54,10 @@
     Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
     When 12 actions arrive at once, and 100 ms later the target announces 8 slots
     Then 8 attempts had started after 200 ms
+
+  # Guards against callers that left but keep their places, so that others are refused as if these still waited.
+  Scenario: Attempts whose callers have left keep no place
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 60 attempts of a front wait, the front cancels them, and 4 actions arrive
+    Then all attempts were admitted, and ended within their aim of 1400 ms
+    And none of the cancelled attempts took a slot
