Waiting for room: an attempt that started isn't kept until its deadline

Cause: a task for each attempt that waits slept until the end of the longest wait, which is up to the deadline, also after the attempt had started and ended; it kept the attempt with its inline body. Change: the task ends with the reply. Measured: after 12 attempts at 4 slots had ended, 8 tasks were left before the change (the scenario failed), none after it. Conclusion: what waiting costs in memory follows from the attempts that wait.

--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -231,7 +231,9 @@
         return code
 
     async def _expire_waiter(self, target: LocalTarget, waiter: Waiter) -> None:
-        await self._timers.wait_until(waiter.wait_ends_at_s)
+        # The task ends with the wait, as it would keep the attempt and its body.
+        with self._timers.move_on_at(waiter.wait_ends_at_s):
+            await waiter.reply.wait()
         if target.queue.remove(waiter):
             waiter.expire(self._timers.read_now_s())
 
--- a/tests/features/steps/waiting_steps.py
+++ b/tests/features/steps/waiting_steps.py
@@ -1,5 +1,6 @@
 """Steps on attempts that wait for a slot in an order, in virtual time."""
 
+import asyncio
 import math
 from functools import partial
 
@@ -365,3 +366,22 @@
 @then("none of the cancelled attempts took a slot")
 def step_check_cancelled(context):
     assert not context.cancelled_starts, context.cancelled_starts
+
+
+@when("{count:d} actions arrive at once and end")
+def step_play_to_end(context, count):
+    async def main():
+        before = len(asyncio.all_tasks())
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(send, context, 0, "")
+        await anyio.sleep(0.01)
+        context.tasks_left = len(asyncio.all_tasks()) - before
+
+    context.load.run(main)
+    assert all(sent.is_admitted for sent in context.sent)
+
+
+@then("no task is left for them")
+def step_check_tasks(context):
+    assert context.tasks_left == 0, context.tasks_left
--- a/tests/features/waiting.feature
+++ b/tests/features/waiting.feature
@@ -61,3 +61,9 @@
     When 60 attempts of a front wait, the front cancels them, and 4 actions arrive
     Then all attempts were admitted, and ended within their aim of 1400 ms
     And none of the cancelled attempts took a slot
+
+  # Guards against attempts, and their bodies, that are kept until their deadlines although they ended long before.
+  Scenario: An attempt that has waited is forgotten once it ended
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 12 actions arrive at once and end
+    Then no task is left for them
