Waiting for room: each rank has fair shares of its own

Cause: all ranks shared one virtual time. A more urgent start sets it to the position of its own workspace, and positions behind that are forgotten; so a workspace that sends many times its usual became level with the small ones after each such start, and went first, as its attempts had waited longest. Change: positions and counts are kept by rank. Conclusion: a hot workspace takes nothing from others of its rank, whatever goes first.

--- a/src/samphirespring/process/agent/waiting_room.py
+++ b/src/samphirespring/process/agent/waiting_room.py
@@ -5,7 +5,7 @@
 whoever happens to ask when a slot becomes free.
 """
 
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 
 from samphirespring.process.agent.admission_queue import AdmissionQueue, SlotPace, Waiter
 from samphirespring.process.agent.fair_shares import FairShares
@@ -42,7 +42,8 @@
 
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
-        self._shares = FairShares()
+        # By rank: a start of another rank says nothing about whose turn it is.
+        self._shares: defaultdict[int, FairShares] = defaultdict(FairShares)
         self._start_count = 0
 
     def __len__(self) -> int:
@@ -87,7 +88,7 @@
         waiter = self._arrange(now_s)[0]
         self._start_count += 1
         self._waiters.remove(waiter)
-        self._shares.record_start(waiter.request.workspace)
+        self._shares[waiter.request.rank].record_start(waiter.request.workspace)
         for late in self._list_late(pace, now_s=now_s):
             self._waiters.remove(late)
             late.refuse(_choose_code(late))
@@ -146,18 +147,18 @@
 
     def _sort(self, now_s: float) -> list[Waiter]:
         """Return the attempts by what their callers lose, most first."""
-        counts: Counter[WorkspaceId] = Counter()
+        counts: Counter[tuple[int, WorkspaceId]] = Counter()
         keys: dict[int, _Order] = {}
         for waiter in self._waiters:
-            workspace = waiter.request.workspace
+            rank, workspace = waiter.request.rank, waiter.request.workspace
             keys[id(waiter)] = (
                 waiter.is_helper,
-                waiter.request.rank,
+                rank,
                 waiter.aim_needs_start_by_s < now_s,
-                self._shares.read_position(workspace) + counts[workspace],
+                self._shares[rank].read_position(workspace) + counts[rank, workspace],
                 waiter.arrived_at_s,
             )
-            counts[workspace] += 1
+            counts[rank, workspace] += 1
         return sorted(self._waiters, key=lambda waiter: keys[id(waiter)])
 
 
--- a/tests/features/steps/waiting_steps.py
+++ b/tests/features/steps/waiting_steps.py
@@ -385,3 +385,25 @@
 @then("no task is left for them")
 def step_check_tasks(context):
     assert context.tasks_left == 0, context.tasks_left
+
+
+@when(
+    'workspace "{hot}" sends {rate:d} actions per second for {span:d} s, "{a}" and "{b}" send'
+    ' {usual:d} each, and "{urgent}" sends {urgent_rate:d} of a lower rank'
+)
+def step_hot_workspace_beside_urgent(context, hot, rate, span, a, b, usual, urgent, urgent_rate):
+    shared = {"start_s": 0.0, "end_s": span}
+    play(
+        context,
+        {"rate": rate, "rank": 2, "workspace": hot, **shared},
+        {"rate": usual, "rank": 2, "workspace": a, **shared},
+        {"rate": usual, "rank": 2, "workspace": b, **shared},
+        {"rate": urgent_rate, "rank": 0, "workspace": urgent, **shared},
+    )
+
+
+@then('half of the attempts of "{a}" and "{b}" ended within {limit:d} ms')
+def step_check_median(context, a, b, limit):
+    took = sorted(sent.took_s for sent in context.sent if sent.workspace in (a, b))
+    print(f"  measured: median {took[len(took) // 2]:.2f} s")
+    assert took[len(took) // 2] <= limit / 1_000, took
--- a/tests/features/waiting.feature
+++ b/tests/features/waiting.feature
@@ -67,3 +67,10 @@
     Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
     When 12 actions arrive at once and end
     Then no task is left for them
+
+  # Guards against starts of one rank that make the workspaces of another rank level again, so that who waits longest goes first.
+  Scenario: A workspace that sends many times its usual takes nothing from the others beside more urgent attempts
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When workspace "hot" sends 16 actions per second for 15 s, "a" and "b" send 1 each, and "urgent" sends 3 of a lower rank
+    Then all attempts of "a" and "b" ended within their aim of 5000 ms
+    And half of the attempts of "a" and "b" ended within 2000 ms
