--- a/tests/features/steps/waiting_steps.py
+++ b/tests/features/steps/waiting_steps.py
@@ -1,5 +1,6 @@
 """Steps on attempts that wait for a slot in an order, in virtual time."""
 
+import asyncio
 import math
 from functools import partial
 
@@ -9,12 +10,16 @@
 
 from front.agent_load import LoadedAgent, make_attempt
 from samphirespring.process.agent.admission_queue import Admission, SlotPace, Waiter
+from samphirespring.process.agent.agent_messages import DrainHost
 from samphirespring.process.agent.waiting_room import WaitingRoom
+from samphirespring.process.attempt_runner import AttemptRunner
 from samphirespring.process.detection.reference import PoolReference
 from samphirespring.process.detection.states import ObservedOutcome
 from samphirespring.process.detection.summaries import encode_log_latency
 from samphirespring.process.detection.target_evaluator import DetectionTerms
-from samphirespring.process.mailbox import ReplySlot
+from samphirespring.process.mailbox import Mailbox, ReplySlot
+from samphirespring.process.queued_frames import QueuedFrames
+from samphirespring.process.states import TargetPhase
 from samphirespring.request.states import RefusalCode
 from samphirespring.version.document import ServicePolicy, SuspicionPolicy
 from samphirespring.version.states import AdmissionMode, DetectionMode, PriorityClass
@@ -258,3 +263,155 @@
 def step_check_offers(context, waiting, refused, code):
     assert context.codes == [None] * waiting + [RefusalCode(code)] * refused, context.codes
     assert len(context.queue) == waiting
+
+
+def play_event(context, count, start_event):
+    load = context.load
+
+    async def main():
+        # The agent learns from the first one how long attempts take.
+        await send(context, 0, "")
+        context.sent.clear()
+        context.began_at_s = load.timers.read_now_s()
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(send, context, 0, "")
+            await anyio.sleep(0.1)
+            await start_event(load)
+
+    load.run(main)
+
+
+@when("{count:d} actions arrive at once, and 100 ms later the target announces that it drains")
+def step_announce_drain(context, count):
+    play_event(context, count, lambda load: load.announce(phase=TargetPhase.DRAINING))
+
+
+@when("{count:d} actions arrive at once, and 100 ms later the target announces {slots:d} slots")
+def step_announce_slots(context, count, slots):
+    play_event(context, count, lambda load: load.announce(slots=slots))
+
+
+@when(
+    "{count:d} actions arrive at once, and 100 ms later its agent is to drain with {callers:d} ms"
+    " for callers"
+)
+def step_stop_agent(context, count, callers):
+    async def drain(load):
+        now_s = load.timers.read_now_s()
+        load.agent.inbox.post(
+            DrainHost(callers_end_at_s=now_s - 0.1 + callers / 1_000, ends_at_s=now_s + 60.0)
+        )
+
+    play_event(context, count, drain)
+
+
+@then('{admitted:d} of them were admitted, and the others refused with "{code}"')
+def step_check_event(context, admitted, code):
+    assert sum(sent.is_admitted for sent in context.sent) == admitted, context.sent
+    refused = [sent.result.code for sent in context.sent if not sent.is_admitted]
+    assert refused and set(refused) == {RefusalCode(code)}, refused
+
+
+@then("{count:d} attempts had started after {limit:d} ms")
+def step_check_started(context, count, limit):
+    limit_s = context.began_at_s + limit / 1_000
+    started = sum(sent.is_admitted and sent.replied_at_s <= limit_s for sent in context.sent)
+    assert started == count, started
+
+
+@when("{count:d} attempts of a front wait, the front cancels them, and {later:d} actions arrive")
+def step_cancel_waiting(context, count, later):
+    load = context.load
+    started = context.cancelled_starts = []
+
+    class WatchedUpstream:
+        """Notes each attempt that is sent to a target."""
+
+        def __getattr__(self, name):
+            started.append(name)
+            raise AttributeError(name)
+
+    async def main():
+        runner = AttemptRunner(
+            agent=load.agent.inbox,
+            guard=Mailbox(name="guard", capacity=1),
+            timers=load.timers,
+            upstream=WatchedUpstream(),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(runner.run)
+            async with anyio.create_task_group() as attempts:
+                for _ in range(load.slots):
+                    attempts.start_soon(send, context, 0, "")
+                await anyio.sleep(0.01)
+                requests = [
+                    make_attempt(ACTION, service="s", remaining_ms=DEADLINE_MS, attempt=f"c{n}")
+                    for n in range(count)
+                ]
+                handles = [
+                    runner.start(request, body=None, sink=QueuedFrames()) for request in requests
+                ]
+                await anyio.sleep(0.01)
+                for handle in handles:
+                    handle.cancel()
+                await anyio.sleep(0.01)
+                for _ in range(later):
+                    attempts.start_soon(send, context, 0, "")
+            group.cancel_scope.cancel()
+
+    load.run(main)
+
+
+@then("none of the cancelled attempts took a slot")
+def step_check_cancelled(context):
+    assert not context.cancelled_starts, context.cancelled_starts
+
+
+@when("{count:d} actions arrive at once and end")
+def step_play_to_end(context, count):
+    async def main():
+        before = len(asyncio.all_tasks())
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(send, context, 0, "")
+        await anyio.sleep(0.01)
+        context.tasks_left = len(asyncio.all_tasks()) - before
+
+    context.load.run(main)
+    assert all(sent.is_admitted for sent in context.sent)
+
+
+@then("no task is left for them")
+def step_check_tasks(context):
+    assert context.tasks_left == 0, context.tasks_left
+
+
+@when(
+    'workspace "{hot}" sends {rate:d} actions per second for {span:d} s, "{a}" and "{b}" send'
+    ' {usual:g} each, and "{urgent}" sends {urgent_rate:d} of a lower rank'
+)
+def step_hot_workspace_beside_urgent(context, hot, rate, span, a, b, usual, urgent, urgent_rate):
+    shared = {"start_s": 0.0, "end_s": span}
+    play(
+        context,
+        {"rate": rate, "rank": 2, "workspace": hot, **shared},
+        {"rate": usual, "rank": 2, "workspace": a, **shared},
+        {"rate": usual, "rank": 2, "workspace": b, **shared},
+        {"rate": urgent_rate, "rank": 0, "workspace": urgent, **shared},
+    )
+
+
+@then('half of the attempts of "{a}" and "{b}" ended within {limit:d} ms')
+def step_check_median(context, a, b, limit):
+    took = sorted(sent.took_s for sent in context.sent if sent.workspace in (a, b))
+    print(f"  measured: median {took[len(took) // 2]:.2f} s")
+    assert took[len(took) // 2] <= limit / 1_000, took
+
+
+@then('at least three quarters of the attempts of "{a}" and "{b}" were admitted')
+def step_check_small_admitted(context, a, b):
+    small = [sent for sent in context.sent if sent.workspace in (a, b)]
+    admitted = sum(sent.is_admitted for sent in small)
+    print(f"  measured: {admitted} of {len(small)} admitted")
+    assert admitted >= len(small) * 3 / 4
--- a/tests/features/waiting.feature
+++ b/tests/features/waiting.feature
@@ -36,3 +36,47 @@
     Given a queue of a target with 2 slots whose pool takes 1000 ms
     When 6 actions with deadlines of 2700 ms arrive while both slots are taken
     Then 3 wait, and 3 are refused with "no_slot"
+
+  # Guards against attempts that wait for seconds and then reach a target that meanwhile says that it leaves, or start in a
+  # process that stops before they can end.
+  Scenario Outline: Attempts that wait are given back once their target takes no new ones
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 12 actions arrive at once, and 100 ms later <event>
+    Then <admitted> of them were admitted, and the others refused with "draining"
+
+    Examples:
+      | event                                               | admitted |
+      | the target announces that it drains                 | 4        |
+      | its agent is to drain with 1500 ms for callers      | 8        |
+
+  # Guards against slots that stay free until another attempt ends.
+  Scenario: An announcement with more slots starts attempts that wait
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 12 actions arrive at once, and 100 ms later the target announces 8 slots
+    Then 8 attempts had started after 200 ms
+
+  # Guards against callers that left but keep their places, so that others are refused as if these still waited.
+  Scenario: Attempts whose callers have left keep no place
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 60 attempts of a front wait, the front cancels them, and 4 actions arrive
+    Then all attempts were admitted, and ended within their aim of 1400 ms
+    And none of the cancelled attempts took a slot
+
+  # Guards against attempts, and their bodies, that are kept until their deadlines although they ended long before.
+  Scenario: An attempt that has waited is forgotten once it ended
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When 12 actions arrive at once and end
+    Then no task is left for them
+
+  # Guards against starts of one rank that make the workspaces of another rank level again, so that who waits longest goes first.
+  Scenario: A workspace that sends many times its usual takes nothing from the others beside more urgent attempts
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When workspace "hot" sends 16 actions per second for 15 s, "a" and "b" send 1 each, and "urgent" sends 3 of a lower rank
+    Then all attempts of "a" and "b" ended within their aim of 5000 ms
+    And half of the attempts of "a" and "b" ended within 2000 ms
+
+  # Guards against starts for lower ranks that all go to the workspace with the most attempts.
+  Scenario: Starts of lower ranks are shared fairly, too
+    Given a target with 4 slots that takes 640 ms, whose attempts wait in an order
+    When workspace "hot" sends 8 actions per second for 20 s, "a" and "b" send 0.2 each, and "urgent" sends 15 of a lower rank
+    Then at least three quarters of the attempts of "a" and "b" were admitted
