Requests sent ahead are freed in the turn in which their connection ends

Cause: a connection that the budget ends isn't counted any more, but kept its queued requests until the transport told that it was closed, one turn of the event loop later. All connections that are read in one turn could so hold 150 requests each, without a bound for the process. Change: to cut a connection drops its queue and its unparsed bytes at once; a scenario counts the requests that wait after each report, also those on ended connections. The scenario's 20 connections held 3,000 waiting requests before, against room for 166; it passes after.

--- a/src/samphirespring/connection/http_protocol.py
+++ b/src/samphirespring/connection/http_protocol.py
@@ -349,12 +349,18 @@
         if running is not None and is_open and self._may_refuse(running):
             self._refuse(running)
         elif is_open or self.transport.get_write_buffer_size():
-            self.transport.abort()
+            self.cut()
         else:
             self.transport.close()
 
     def cut(self) -> None:
-        """Close the connection immediately."""
+        """Close the connection immediately, and free what waits on it.
+
+        The transport tells that it is closed one turn later; other connections would have taken the
+        same room by then.
+        """
+        self.pipeline.clear()
+        self._backlog = b""
         self.transport.abort()
 
     def _may_refuse(self, running: RequestResponseCycle) -> bool:
--- a/tests/features/caller_budget.feature
+++ b/tests/features/caller_budget.feature
@@ -106,3 +106,8 @@
     Given a server whose response has 8 MiB
     When a caller reads none of it for longer than it may
     Then the connection is closed, and the server holds nothing
+
+  Scenario: Requests sent ahead are freed in the turn in which their connection ends
+    Given a server that may hold 1000 KiB for callers
+    When 20 callers send 500 requests ahead each, all before the server reads
+    Then at no time do more requests wait than twice what the budget has room for
--- a/tests/features/steps/caller_budget_steps.py
+++ b/tests/features/steps/caller_budget_steps.py
@@ -1,6 +1,7 @@
 import os
 import random
 import socket
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 import anyio
@@ -9,6 +10,7 @@
 from hypothesis import strategies
 
 from samphirespring.connection.caller_http import CallerApp
+from samphirespring.connection.http_protocol import REQUEST_BYTES
 from samphirespring.connection.http_server import serve_http
 from samphirespring.process.caller_budget import (
     END_SHARE,
@@ -385,3 +387,48 @@
 def step_check_closed(context):
     assert context.budget.connection_count == 0
     assert context.budget.held_bytes == 0
+
+
+class CountingBudget(CallerBudget):
+    """Counts after each report the requests that wait, also on connections that were ended."""
+
+    most_waiting = 0
+
+    def record(self, account, *, has_progress=False):
+        super().record(account, has_progress=has_progress)
+        waiting = sum(len(other.holder.pipeline) for other in self._accounts)
+        self.most_waiting = max(self.most_waiting, waiting)
+
+
+@when("{count:d} callers send {requests:d} requests ahead each, all before the server reads")
+def step_send_ahead_at_once(context, count, requests):
+    limits = context.budget._limits
+    context.budget = CountingBudget(limits, read_now_s=lambda: context.clock["now_s"])
+    sent = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * requests
+
+    async def app(scope, receive, send):
+        await receive()
+        await anyio.sleep(TIMEOUT_S)
+
+    async def main():
+        with anyio.fail_after(TIMEOUT_S), ExitStack() as stack:
+            async with serve_http(app, address=ADDRESS, budget=context.budget, drain_timeout_s=0.1):
+                callers = [
+                    stack.enter_context(socket.create_connection(("127.0.0.1", PORT)))
+                    for _ in range(count)
+                ]
+                while context.budget.connection_count < count:
+                    await anyio.sleep(0.01)
+                for caller in callers:
+                    caller.sendall(sent)
+                await anyio.sleep(SETTLE_S)
+                stack.close()
+
+    anyio.run(main)
+
+
+@then("at no time do more requests wait than twice what the budget has room for")
+def step_check_waiting(context):
+    room = context.budget._limits.held_bytes // REQUEST_BYTES
+    assert context.budget.ended
+    assert context.budget.most_waiting <= 2 * room, (context.budget.most_waiting, room)
