Idle connections are closed before the last descriptor for callers is taken

Cause: limits.connections is 3000 whatever the process may open. With 1,024 descriptors connections without a request took all that a node accepts (896), and the budget closed none of them. Change: the budget's limit is at most three quarters of the descriptors; accepting stops at seven eighths of them, as before.

--- a/src/samphirespring/connection/listener.py
+++ b/src/samphirespring/connection/listener.py
@@ -134,12 +134,17 @@
     listener.setblocking(False)
     return Listener(
         listener,
-        descriptor_limit=_compute_descriptor_limit(reserved_share),
+        descriptor_limit=compute_descriptor_limit(reserved_share),
         dead_peers=dead_peers,
     )
 
 
-def _compute_descriptor_limit(reserved_share: float) -> int:
+def compute_descriptor_limit(reserved_share: float) -> int:
+    """Return the number of descriptors that the process may open, less a reserved share.
+
+    Args:
+        reserved_share: The share.
+    """
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft_limit == resource.RLIM_INFINITY:
         return sys.maxsize
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -29,6 +29,7 @@
     UnaryHandler,
     serve_link,
 )
+from samphirespring.connection.listener import compute_descriptor_limit
 from samphirespring.connection.local_attempts import LocalFirstSender
 from samphirespring.connection.local_http import LocalApp
 from samphirespring.connection.metrics_http import serve_metrics
@@ -102,6 +103,10 @@
 
 LINK_CAPACITY = 4_000
 RESERVED_DESCRIPTOR_SHARE = 1 / 8
+UNCALLED_DESCRIPTOR_SHARE = 1 / 4
+"""Share of the descriptors that callers' connections leave free before idle ones are closed: more
+than the share above, or the node would accept no connection before it closes one."""
+
 """Share of the descriptors that callers' connections leave to those that serve them, and to local
 and operators' connections."""
 
@@ -490,8 +495,9 @@
     Args:
         limits: Limits from the settings.
     """
+    connections = min(limits.connections, compute_descriptor_limit(UNCALLED_DESCRIPTOR_SHARE))
     return BudgetLimits(
-        held_bytes=limits.held_bytes, connections=limits.connections, unread_s=limits.unread_s
+        held_bytes=limits.held_bytes, connections=connections, unread_s=limits.unread_s
     )
 
 
--- a/src/samphirespring/process/settings.py
+++ b/src/samphirespring/process/settings.py
@@ -94,8 +94,8 @@
     action with a key holds its whole body: use four times the largest such body, or more."""
 
     connections: Annotated[int, msgspec.Meta(ge=1)] = 3_000
-    """Largest number of callers' connections; beyond it, those that stand still or are idle are
-    closed."""
+    """Largest number of callers' connections; beyond it, or beyond three quarters of the
+    descriptors that the process may open, those that stand still or are idle are closed."""
 
     unread_s: Seconds = 30.0
     """Longest time for which a caller reads nothing of a response before its connection is closed,
--- a/tests/features/caller_budget.feature
+++ b/tests/features/caller_budget.feature
@@ -111,3 +111,13 @@
     Given a server that may hold 1000 KiB for callers
     When 20 callers send 500 requests ahead each, all before the server reads
     Then at no time do more requests wait than twice what the budget has room for
+
+  Scenario Outline: Callers' connections are too many before no descriptor is left to accept one
+    Given a node whose process may open <descriptors> descriptors
+    Then it closes idle connections beyond <connections>
+
+    Examples:
+      | descriptors | connections |
+      | 1024        | 768         |
+      | 4096        | 3000        |
+      | unlimited   | 3000        |
--- a/tests/features/steps/caller_budget_steps.py
+++ b/tests/features/steps/caller_budget_steps.py
@@ -1,8 +1,10 @@
 import os
 import random
+import resource
 import socket
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from unittest import mock
 
 import anyio
 from behave import given, then, when
@@ -21,6 +23,7 @@
     HolderState,
     Holding,
 )
+from samphirespring.process.composition.node import make_budget_limits
 from samphirespring.process.settings import CallerLimits
 
 KIB = 1_024
@@ -432,3 +435,15 @@
     room = context.budget._limits.held_bytes // REQUEST_BYTES
     assert context.budget.ended
     assert context.budget.most_waiting <= 2 * room, (context.budget.most_waiting, room)
+
+
+@given("a node whose process may open {descriptors} descriptors")
+def step_descriptors(context, descriptors):
+    limit = resource.RLIM_INFINITY if descriptors == "unlimited" else int(descriptors)
+    with mock.patch.object(resource, "getrlimit", return_value=(limit, limit)):
+        context.limits = make_budget_limits(CallerLimits())
+
+
+@then("it closes idle connections beyond {connections:d}")
+def step_check_connections(context, connections):
+    assert context.limits.connections == connections, context.limits
