A paused connection whose last request is being served isn't ended

A scenario without a network, seen to fail first. Conclusion: the budget ends no connection that has sent nothing beyond what is being served.

--- a/src/samphirespring/process/caller_budget.py
+++ b/src/samphirespring/process/caller_budget.py
@@ -389,10 +389,13 @@
         ]
 
     def _find_paused(self, now_s: float, *, after_s: float) -> list[tuple[Account, EndReason]]:
+        """Return connections that aren't read, but those whose last request is being served."""
         paused = [
             a
             for a in self._paused
-            if a.paused_at_s is not None and now_s - a.paused_at_s >= after_s
+            if a.paused_at_s is not None
+            and now_s - a.paused_at_s >= after_s
+            and a.holding.state is not HolderState.SERVING
         ]
         return [(account, EndReason.OVER_SHARE) for account in _sort_by_size(paused)]
 
--- a/tests/features/caller_budget.feature
+++ b/tests/features/caller_budget.feature
@@ -121,3 +121,12 @@
       | 1024        | 768         |
       | 4096        | 3000        |
       | unlimited   | 3000        |
+
+  Scenario: A paused connection whose last request is being served isn't ended
+    Given a budget of 1000 KiB and 100 connections
+    And connection 1 is served and holds 250 KiB
+    When connection 1 sends ahead and holds 360 KiB
+    Then connection 1 is paused, and no other
+    When the request that connection 1 sent ahead is served
+    And a sweep follows after 0 s
+    Then connection 1 isn't ended
--- a/tests/features/steps/caller_budget_steps.py
+++ b/tests/features/steps/caller_budget_steps.py
@@ -447,3 +447,9 @@
 @then("it closes idle connections beyond {connections:d}")
 def step_check_connections(context, connections):
     assert context.limits.connections == connections, context.limits
+
+
+@when("the request that connection {number:d} sent ahead is served")
+def step_serve_ahead(context, number):
+    connection = context.bench.connections[number - 1]
+    context.bench.set(connection, HolderState.SERVING, connection.size_bytes)
