A connection with TLS reads 16 KiB at once, too, and counts as what it then takes

Cause: the limit on reads was set on plain connections only. One with TLS received up to 256 KiB at once, and kept a buffer of that size; counted at 330 KiB, the 100th idle one closes another with the default settings (trial of the budget alone). Change: the reads and the buffer of TLS have 16 KiB (a part of a record may come on top, and what came with the end of the handshake is read as before); TLS counts as 56 KiB, and bytes that TLS has encoded and not sent are counted as unread. A scenario with 150 callers. By the count, about 500 idle connections with TLS fit into the default held_bytes; more need a larger one.

--- a/src/samphirespring/connection/http_protocol.py
+++ b/src/samphirespring/connection/http_protocol.py
@@ -56,8 +56,8 @@
 CONNECTION_BYTES = 10_240
 """Memory of a connection without a request, in bytes."""
 
-TLS_BYTES = 327_680
-"""Additional memory of a connection with TLS, in bytes."""
+TLS_BYTES = 57_344
+"""Additional memory of a connection with TLS, in bytes, beside what waits to be sent."""
 
 WINDOW_BYTES = 32_768
 """Bytes that the system may hold for a connection that isn't read; they are memory, too."""
@@ -160,8 +160,7 @@
         """Memory of the request that is served and of those in the queue, in bytes."""
 
         self.timeout_keep_alive = bounds.idle_timeout_s  # type: ignore[assignment]
-        if hasattr(transport, "max_size"):
-            transport.max_size = READ_BYTES
+        self._encrypted = _limit_reads(transport)
         self._closing_transport = ClosingTransport(transport, self.loop)
         super().connection_made(self._closing_transport)
         self._base_bytes = CONNECTION_BYTES + (TLS_BYTES if self.scheme == "https" else 0)
@@ -193,6 +192,7 @@
     def _break_references(self) -> None:
         """Free the connection at once: the garbage collector finds its cycles much later."""
         self._running = None
+        self._encrypted = None
         self.cycle = None  # type: ignore[assignment]
         self.scope = None  # type: ignore[assignment]
         self._pipeline_flow.detach()
@@ -307,7 +307,7 @@
 
     def measure(self) -> Holding:
         """Return what the connection holds for its client."""
-        unread_bytes = self.transport.get_write_buffer_size()
+        unread_bytes = self._count_unread()
         size_bytes = self._base_bytes + len(self._backlog) + unread_bytes
         size_bytes += HEAD_FACTOR * self._guard.size_bytes + self._count_queue()
         if self.flow.read_paused:
@@ -322,6 +322,11 @@
             state = HolderState.UNREAD
         return Holding(size_bytes=size_bytes, unread_bytes=unread_bytes, state=state)
 
+    def _count_unread(self) -> int:
+        """Return the bytes that the caller has to read, with those that TLS has encoded."""
+        encrypted_bytes = 0 if self._encrypted is None else self._encrypted.get_write_buffer_size()
+        return self.transport.get_write_buffer_size() + encrypted_bytes
+
     def _find_state(self, running: RequestResponseCycle) -> HolderState:
         # A body that its target reads slowly isn't waited for.
         if running.more_body and len(running.body) <= HIGH_WATER_LIMIT:
@@ -348,7 +353,7 @@
         is_open = running is not None and not running.response_complete
         if running is not None and is_open and self._may_refuse(running):
             self._refuse(running)
-        elif is_open or self.transport.get_write_buffer_size():
+        elif is_open or self._count_unread():
             self.cut()
         else:
             self.transport.close()
@@ -365,7 +370,7 @@
 
     def _may_refuse(self, running: RequestResponseCycle) -> bool:
         holding = read_holding(running.scope)
-        is_begun = running.response_started or self.transport.get_write_buffer_size() > 0
+        is_begun = running.response_started or self._count_unread() > 0
         return running.more_body and not holding.is_passed_on and not is_begun
 
     def _refuse(self, running: RequestResponseCycle) -> None:
@@ -446,6 +451,25 @@
         _close_after_discarding(self.transport)
 
 
+def _limit_reads(transport: asyncio.Transport) -> asyncio.Transport | None:
+    """Let a connection receive `READ_BYTES` at most at once; with TLS, beside a part of a record.
+
+    Returns:
+        The transport of the encoded bytes; None without TLS.
+    """
+    tls: Any = getattr(transport, "_ssl_protocol", None)
+    reader: Any = transport if tls is None else tls
+    if hasattr(reader, "max_size"):
+        reader.max_size = READ_BYTES
+    if tls is None:
+        return None
+    # The library's buffer has 256 KiB, and is kept for as long as the connection.
+    tls._ssl_buffer = bytearray(READ_BYTES)
+    tls._ssl_buffer_view = memoryview(tls._ssl_buffer)
+    encrypted: asyncio.Transport | None = tls._transport
+    return encrypted
+
+
 def _count_response(running: RequestResponseCycle) -> int:
     """Return the memory of the part of a response that may wait for its client, in bytes."""
     if not running.response_started:
--- a/tests/features/caller_budget.feature
+++ b/tests/features/caller_budget.feature
@@ -130,3 +130,8 @@
     When the request that connection 1 sent ahead is served
     And a sweep follows after 0 s
     Then connection 1 isn't ended
+
+  Scenario: Idle connections with TLS stay open with the default settings
+    Given a server with TLS and the default settings
+    When 150 callers send a body of 100000 bytes each and stay idle
+    Then none of their connections is ended, and the server received 32768 bytes at most at once
--- a/tests/features/steps/caller_budget_steps.py
+++ b/tests/features/steps/caller_budget_steps.py
@@ -2,8 +2,11 @@
 import random
 import resource
 import socket
-from contextlib import ExitStack
+import ssl
+import tempfile
+from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass, field
+from pathlib import Path
 from unittest import mock
 
 import anyio
@@ -11,8 +14,9 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 
+from document.certificates import Authority
 from samphirespring.connection.caller_http import CallerApp
-from samphirespring.connection.http_protocol import REQUEST_BYTES
+from samphirespring.connection.http_protocol import REQUEST_BYTES, BoundedHttpProtocol
 from samphirespring.connection.http_server import serve_http
 from samphirespring.process.caller_budget import (
     END_SHARE,
@@ -25,6 +29,7 @@
 )
 from samphirespring.process.composition.node import make_budget_limits
 from samphirespring.process.settings import CallerLimits
+from samphirespring.process.tls_reloader import TlsContextStore
 
 KIB = 1_024
 UNREAD_S = 30.0
@@ -453,3 +458,63 @@
 def step_serve_ahead(context, number):
     connection = context.bench.connections[number - 1]
     context.bench.set(connection, HolderState.SERVING, connection.size_bytes)
+
+
+@given("a server with TLS and the default settings")
+def step_tls_server(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    files = Authority(Path(folder.name), "own").issue("server")
+    context.tls = TlsContextStore().make_server(files, mutual=False)
+    context.clock = {"now_s": 0.0}
+    limits = make_budget_limits(CallerLimits())
+    context.budget = CallerBudget(limits, read_now_s=lambda: context.clock["now_s"])
+
+
+@when("{count:d} callers send a body of {size:d} bytes each and stay idle")
+def step_stay_idle(context, count, size):
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    tls = ssl.create_default_context()
+    tls.check_hostname = False
+    tls.verify_mode = ssl.CERT_NONE
+    context.parts = []
+
+    async def app(scope, receive, send):
+        while (await receive()).get("more_body"):
+            pass
+        headers = [(b"content-length", b"0")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    receive_data = BoundedHttpProtocol.data_received
+
+    def record_size(protocol, data):
+        context.parts.append(len(data))
+        receive_data(protocol, data)
+
+    async def main():
+        async with (
+            serve_http(app, address=ADDRESS, budget=context.budget, tls=context.tls),
+            AsyncExitStack() as stack,
+        ):
+            for _ in range(count):
+                connecting = anyio.connect_tcp(
+                    "127.0.0.1", PORT, ssl_context=tls, tls_standard_compatible=False
+                )
+                caller = await stack.enter_async_context(await connecting)
+                # What comes with the end of the handshake is read before there is a connection.
+                await caller.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert b"200 OK" in await caller.receive()
+                await caller.send(head + b"x" * size)
+                assert b"200 OK" in await caller.receive()
+            context.idle_count = context.budget.connection_count
+
+    with mock.patch.object(BoundedHttpProtocol, "data_received", record_size):
+        anyio.run(main)
+
+
+@then("none of their connections is ended, and the server received {size:d} bytes at most at once")
+def step_check_tls(context, size):
+    assert context.idle_count == 150, (context.idle_count, context.budget.ended)
+    assert not context.budget.ended
+    assert max(context.parts) <= size, max(context.parts)
