A first time of next to nothing doesn't pin the cost of a service to zero

Cause: a time counts as three times the expected one at most, so that an expected time of 0.0 (one first attempt below 0.05 ms, as reports are rounded) stayed 0.0 for good. Change: the ratio applies only to an expected time over 0.0; a scenario that failed first with 0.0. Conclusion: a rare fault, read from the code; no play showed it.

--- a/src/samphirespring/process/work/work_estimator.py
+++ b/src/samphirespring/process/work/work_estimator.py
@@ -109,7 +109,8 @@
         self._usual_pace += PACE_GAIN * (pace - self._usual_pace)
         sample_s = run_s * self._usual_pace / pace
         expected_s = self.estimate(kind, now_s=now_s)
-        if expected_s is not None:
+        if expected_s:
+            # An expected time of 0.0 says nothing: no time could exceed it by a ratio.
             sample_s = min(sample_s, OUTLIER_RATIO * expected_s)
         self._mean.add(sample_s, now_s=now_s)
         known = self._kinds.pop(kind, None) or _DecayingMean()
--- a/tests/features/steps/work_placement_steps.py
+++ b/tests/features/steps/work_placement_steps.py
@@ -454,3 +454,16 @@
 @then("by work, no larger share of the requests is late than by slots, but for {percent:d} %")
 def step_check_silent(context, percent):
     assert context.plays[True].late <= context.plays[False].late + percent / 100, context.plays
+
+
+@when("{few:d} attempt takes {short_s:f} s and {many:d} attempts take {long_s:f} s")
+def step_learn_after_nothing(context, few, short_s, many, long_s):
+    for run_s in (*[short_s] * few, *[long_s] * many):
+        context.now_s += 0.1
+        context.estimator.learn("k", run_s=run_s, pace=1.0, now_s=context.now_s)
+
+
+@then("an attempt is expected to take over {work_s:f} s")
+def step_check_over(context, work_s):
+    expected_s = context.estimator.estimate("k", now_s=context.now_s)
+    assert expected_s > work_s, expected_s
--- a/tests/features/work_placement.feature
+++ b/tests/features/work_placement.feature
@@ -14,6 +14,11 @@
       | g     | aimless | 3000ms  | 0ms    |
     Then the adapter places the requests of "tight" by work, and those of the others by slots
 
+  Scenario: A first time of next to nothing doesn't last
+    Given an estimator that has learned nothing
+    When 1 attempt takes 0.0 s and 100 attempts take 0.6 s
+    Then an attempt is expected to take over 0.5 s
+
   # Guards against estimates that follow single long requests, and against speeds that pass for costs.
   Scenario Outline: The costs of two kinds are learned on targets of different speeds
     Given requests of which <share> take 7 times as long, on targets of pace 0.7, 1.0 and 2.0
