--- a/tests/features/caller_budget.feature
+++ b/tests/features/caller_budget.feature
@@ -106,3 +106,32 @@
     Given a server whose response has 8 MiB
     When a caller reads none of it for longer than it may
     Then the connection is closed, and the server holds nothing
+
+  Scenario: Requests sent ahead are freed in the turn in which their connection ends
+    Given a server that may hold 1000 KiB for callers
+    When 20 callers send 500 requests ahead each, all before the server reads
+    Then at no time do more requests wait than twice what the budget has room for
+
+  Scenario Outline: Callers' connections are too many before no descriptor is left to accept one
+    Given a node whose process may open <descriptors> descriptors
+    Then it closes idle connections beyond <connections>
+
+    Examples:
+      | descriptors | connections |
+      | 1024        | 768         |
+      | 4096        | 3000        |
+      | unlimited   | 3000        |
+
+  Scenario: A paused connection whose last request is being served isn't ended
+    Given a budget of 1000 KiB and 100 connections
+    And connection 1 is served and holds 250 KiB
+    When connection 1 sends ahead and holds 360 KiB
+    Then connection 1 is paused, and no other
+    When the request that connection 1 sent ahead is served
+    And a sweep follows after 0 s
+    Then connection 1 isn't ended
+
+  Scenario: Idle connections with TLS stay open with the default settings
+    Given a server with TLS and the default settings
+    When 150 callers send a body of 100000 bytes each and stay idle
+    Then none of their connections is ended, and the server received 32768 bytes at most at once
--- a/tests/features/steps/caller_budget_steps.py
+++ b/tests/features/steps/caller_budget_steps.py
@@ -1,14 +1,22 @@
 import os
 import random
+import resource
 import socket
+import ssl
+import tempfile
+from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass, field
+from pathlib import Path
+from unittest import mock
 
 import anyio
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies
 
+from document.certificates import Authority
 from samphirespring.connection.caller_http import CallerApp
+from samphirespring.connection.http_protocol import REQUEST_BYTES, BoundedHttpProtocol
 from samphirespring.connection.http_server import serve_http
 from samphirespring.process.caller_budget import (
     END_SHARE,
@@ -19,7 +27,9 @@
     HolderState,
     Holding,
 )
+from samphirespring.process.composition.node import make_budget_limits
 from samphirespring.process.settings import CallerLimits
+from samphirespring.process.tls_reloader import TlsContextStore
 
 KIB = 1_024
 UNREAD_S = 30.0
@@ -385,3 +395,126 @@
 def step_check_closed(context):
     assert context.budget.connection_count == 0
     assert context.budget.held_bytes == 0
+
+
+class CountingBudget(CallerBudget):
+    """Counts after each report the requests that wait, also on connections that were ended."""
+
+    most_waiting = 0
+
+    def record(self, account, *, has_progress=False):
+        super().record(account, has_progress=has_progress)
+        waiting = sum(len(other.holder.pipeline) for other in self._accounts)
+        self.most_waiting = max(self.most_waiting, waiting)
+
+
+@when("{count:d} callers send {requests:d} requests ahead each, all before the server reads")
+def step_send_ahead_at_once(context, count, requests):
+    limits = context.budget._limits
+    context.budget = CountingBudget(limits, read_now_s=lambda: context.clock["now_s"])
+    sent = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * requests
+
+    async def app(scope, receive, send):
+        await receive()
+        await anyio.sleep(TIMEOUT_S)
+
+    async def main():
+        with anyio.fail_after(TIMEOUT_S), ExitStack() as stack:
+            async with serve_http(app, address=ADDRESS, budget=context.budget, drain_timeout_s=0.1):
+                callers = [
+                    stack.enter_context(socket.create_connection(("127.0.0.1", PORT)))
+                    for _ in range(count)
+                ]
+                while context.budget.connection_count < count:
+                    await anyio.sleep(0.01)
+                for caller in callers:
+                    caller.sendall(sent)
+                await anyio.sleep(SETTLE_S)
+                stack.close()
+
+    anyio.run(main)
+
+
+@then("at no time do more requests wait than twice what the budget has room for")
+def step_check_waiting(context):
+    room = context.budget._limits.held_bytes // REQUEST_BYTES
+    assert context.budget.ended
+    assert context.budget.most_waiting <= 2 * room, (context.budget.most_waiting, room)
+
+
+@given("a node whose process may open {descriptors} descriptors")
+def step_descriptors(context, descriptors):
+    limit = resource.RLIM_INFINITY if descriptors == "unlimited" else int(descriptors)
+    with mock.patch.object(resource, "getrlimit", return_value=(limit, limit)):
+        context.limits = make_budget_limits(CallerLimits())
+
+
+@then("it closes idle connections beyond {connections:d}")
+def step_check_connections(context, connections):
+    assert context.limits.connections == connections, context.limits
+
+
+@when("the request that connection {number:d} sent ahead is served")
+def step_serve_ahead(context, number):
+    connection = context.bench.connections[number - 1]
+    context.bench.set(connection, HolderState.SERVING, connection.size_bytes)
+
+
+@given("a server with TLS and the default settings")
+def step_tls_server(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    files = Authority(Path(folder.name), "own").issue("server")
+    context.tls = TlsContextStore().make_server(files, mutual=False)
+    context.clock = {"now_s": 0.0}
+    limits = make_budget_limits(CallerLimits())
+    context.budget = CallerBudget(limits, read_now_s=lambda: context.clock["now_s"])
+
+
+@when("{count:d} callers send a body of {size:d} bytes each and stay idle")
+def step_stay_idle(context, count, size):
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    tls = ssl.create_default_context()
+    tls.check_hostname = False
+    tls.verify_mode = ssl.CERT_NONE
+    context.parts = []
+
+    async def app(scope, receive, send):
+        while (await receive()).get("more_body"):
+            pass
+        headers = [(b"content-length", b"0")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    receive_data = BoundedHttpProtocol.data_received
+
+    def record_size(protocol, data):
+        context.parts.append(len(data))
+        receive_data(protocol, data)
+
+    async def main():
+        async with (
+            serve_http(app, address=ADDRESS, budget=context.budget, tls=context.tls),
+            AsyncExitStack() as stack,
+        ):
+            for _ in range(count):
+                connecting = anyio.connect_tcp(
+                    "127.0.0.1", PORT, ssl_context=tls, tls_standard_compatible=False
+                )
+                caller = await stack.enter_async_context(await connecting)
+                # What comes with the end of the handshake is read before there is a connection.
+                await caller.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert b"200 OK" in await caller.receive()
+                await caller.send(head + b"x" * size)
+                assert b"200 OK" in await caller.receive()
+            context.idle_count = context.budget.connection_count
+
+    with mock.patch.object(BoundedHttpProtocol, "data_received", record_size):
+        anyio.run(main)
+
+
+@then("none of their connections is ended, and the server received {size:d} bytes at most at once")
+def step_check_tls(context, size):
+    assert context.idle_count == 150, (context.idle_count, context.budget.ended)
+    assert not context.budget.ended
+    assert max(context.parts) <= size, max(context.parts)
