--- a/src/samphirespring/version/document.py
+++ b/src/samphirespring/version/document.py
@@ -334,7 +334,7 @@
     limit_fronts: PositiveInt = 1
     """Fronts that the requests of one workspace are spread over; each grants a share of a limit."""
 
-    api_key_header: Name = "x-api-key"
+    api_key_header: Name = "samphire-api-key"
     """Request header that carries the API key; it isn't passed on to backend servers."""
 
     api_keys_required: bool = False
--- a/tests/features/steps/key_fleet_steps.py
+++ b/tests/features/steps/key_fleet_steps.py
@@ -58,7 +58,7 @@
 
 
 def read_with_key(context, key, node):
-    headers = {**READ, "X-Api-Key": key}
+    headers = {**READ, "Samphire-Api-Key": key}
     return send_request(find_callers(context, node), "GET", "/recipes/1", headers=headers)
 
 
@@ -102,7 +102,7 @@
 @when('{count:d} requests with the key "{key}" are sent to "{node}", and it wakes')
 def step_send_and_wake(context, count, key, node):
     host, _, port = find_callers(context, node).rpartition(":")
-    head = f"GET /recipes/1 HTTP/1.1\r\nHost: {READ['Host']}\r\nX-Api-Key: {key}\r\n"
+    head = f"GET /recipes/1 HTTP/1.1\r\nHost: {READ['Host']}\r\nSamphire-Api-Key: {key}\r\n"
     text = f"{head}Connection: close\r\n\r\n".encode()
     connections = []
     for _ in range(count):
--- a/tests/features/steps/workspace_keys_steps.py
+++ b/tests/features/steps/workspace_keys_steps.py
@@ -36,7 +36,7 @@
 )
 LOCALITY = Locality(region="r", failure_domain="d", host="h")
 OPEN_PATH = "/open"
-KEY_HEADER = b"x-api-key"
+KEY_HEADER = b"samphire-api-key"
 WORKSPACE_HEADER = b"x-workspace"
 OTHER_HEADERS = [(b"host", HOST.encode()), (b"accept", b"text/plain")]
 
