Work out a target's pace only when attempts wait for its slots

Cause: read in the change once more: each end of an attempt, of every deployment, worked out the usual durations of the pool (two exponentials) to look into a queue that is mostly empty. Change: the loop that admits waiting attempts looks first whether any wait. Behaviour is the same. Conclusion: no work added to the path of a request without a queue.

--- a/src/samphirespring/process/agent/agent.py
+++ b/src/samphirespring/process/agent/agent.py
@@ -245,7 +245,7 @@
             self._admit_waiting(target)
 
     def _admit_waiting(self, target: LocalTarget) -> None:
-        while target.running < target.slots:
+        while target.queue and target.running < target.slots:
             waiter = target.queue.pop_next(pace=target.pace, now_s=self._timers.read_now_s())
             if waiter is None:
                 return
