--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -12,9 +12,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from http.client import HTTPConnection
 from pathlib import Path
 
@@ -166,8 +168,12 @@
             )
 
     def __enter__(self):
-        for machine in (*self.controls, *self.nodes):
-            machine.start()
+        try:
+            for machine in (*self.controls, *self.nodes):
+                machine.start()
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
@@ -237,3 +243,21 @@
             return True
         time.sleep(interval)
     return False
+
+
+def run_case(main):
+    """Run a case and exit with its status; 2 if it couldn't run or was stopped before its end."""
+
+    def stop(*_):
+        raise SystemExit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    print("exit", status, flush=True)
+    # Threads of stand-ins may still wait on their sockets.
+    os._exit(status)
