--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,8 @@
-"""Clients offer an upgrade of the protocol with their requests, as HTTP/1.1 lets them; the bodies are dropped.
+"""Clients call paths that no route begins: the first slash of the prefix is percent-encoded (%2F).
 
-TROUBLE=0: the same requests without the offer.
+TROUBLE=0: the same requests with a plain slash, which the routes allow.
 """
 
-import hashlib
 import os
 import sys
 import time
@@ -19,22 +18,23 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 READS, ORDERS = "huvo11a", "wuno96b"
 ROUTES = [
-    {"host": "jepu9.example", "path-prefix": "/orders/", "kind": "unsafe", "service": ORDERS},
     {"host": "jepu9.example", "path-prefix": "/cards/", "kind": "safe", "service": READS},
+    {"host": "jepu9.example", "path-prefix": "/orders/", "kind": "unsafe", "service": ORDERS},
+    {"host": "hulo84.example", "path-prefix": "/", "kind": "unsafe", "service": ORDERS},
+    {"host": "hulo84.example", "path-prefix": "/cards/", "kind": "safe", "service": READS},
 ]
-OFFER = (
-    ("Connection", "Upgrade, HTTP2-Settings"),
-    ("Upgrade", "h2c"),
-    ("HTTP2-Settings", "AAMAAABkAAQAAP__"),
-)
-"""What a client sends that would rather speak HTTP/2 (RFC 7540, 3.2); a server may ignore it (RFC 9110, 7.8)."""
 
-SIZES = (20, 300, 1_800, 9_000, 300_000)
+
+def find_service(host, path):
+    """Return the service of the route with the longest prefix that begins the path; None without one."""
+    fitting = [r for r in ROUTES if r["host"] == host and path.split("?")[0].startswith(r["path-prefix"])]
+    return max(fitting, key=lambda route: len(route["path-prefix"]))["service"] if fitting else None
 
 
 def main():
     record = Record(HERE / "record.txt")
-    broken = answered = 0
+    slash = "%2F" if TROUBLE else "/"
+    broken, runs_seen = 0, 0
     with Fleet(services=(ORDERS, READS)) as fleet:
         targets = []
         for number, machine in enumerate(fleet.nodes):
@@ -48,24 +48,25 @@
         if not wait_for(lambda: all(machine.is_ready() for machine in fleet.nodes), 20):
             return 2
         time.sleep(5)
-        for turn in range(8):
-            for size in SIZES:
-                body = hashlib.sha256(f"{turn} {size}".encode()).hexdigest().encode() * (size // 64 + 1)
-                body = body[:size]
-                client = Client(fleet.nodes[turn % 2].ip, OUTBOUND, record=record)
-                path = f"/{'orders' if turn % 4 < 3 else 'cards'}/{turn}"
-                ident, answer = client.request("POST", path, body=body, deadline=6000,
-                                               headers=OFFER if TROUBLE else ())
+        for turn in range(20):
+            for method, host, path in (
+                ("GET", "jepu9.example", f"/cards{slash}{turn}"),
+                ("POST", "jepu9.example", f"/orders{slash}{turn}"),
+                ("POST", "hulo84.example", f"/cards{slash}{turn}"),
+            ):
+                client = Client(fleet.nodes[turn % 2].ip, OUTBOUND, host=host, record=record)
+                ident, answer = client.request(method, path, deadline=6000,
+                                               body=b"x" * 100 if method == "POST" else b"")
                 client.close()
-                runs = [run for target in targets for run in target.runs if run["id"] == ident]
-                changed = [len(run["body"]) for run in runs if run["body"] != body]
-                broken += len(changed)
-                answered += bool(answer and answer[0] == 200)
-                record("JUDGED", ident, "body sent:", size, "bytes; run with:",
-                       [len(run["body"]) for run in runs], "answer:", answer and answer[0],
-                       "BROKEN" if changed else "")
-    record("RESULT requests", 8 * len(SIZES), "answered 200:", answered, "run with another body:", broken)
-    if answered == 0 and broken == 0:
+                allowed = find_service(host, path)
+                ran = [target.service for target in targets for run in target.runs if run["id"] == ident]
+                runs_seen += len(ran)
+                wrong = [service for service in ran if service != allowed]
+                broken += len(wrong)
+                record("JUDGED", ident, host + path, "allowed:", allowed, "ran at:", ran,
+                       "answer:", answer and answer[0], "BROKEN" if wrong else "")
+    record("RESULT runs", runs_seen, "at a service to which no configuration sends them", broken)
+    if not TROUBLE and runs_seen == 0:
         return 2
     return 1 if broken else 0
 
