--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,142 +1,89 @@
-"""Faulty targets send bodies without end; clients close when an answer is longer than any can be.
+"""Three of five core machines are removed for good, one second apart, after their successors have run for long.
 
-The node beside the target then takes all that still comes, without a bound.
-TROUBLE=0: the same requests and clients; the answers of the same targets end after 2 MB.
+The acknowledged configuration can't be read or changed any more. TROUBLE=0: the successors are added, none is removed.
 """
 
+import json
 import os
 import sys
-import threading
 import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib2"))
 
-from client import Client  # noqa: E402
-from fleet import APP, CONTROL, OUTBOUND, Fleet, Record, make_config, run_case, submit, wait_for  # noqa: E402
-from platform_stand_in import Platform  # noqa: E402
-from server import Target  # noqa: E402
+from fleet import (  # noqa: E402
+    CONTROL, SERVICE_ZONES, Fleet, Machine, Record, call, make_config, run_case, submit, wait_for,
+)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MEMORY_MB = 300
-"""`memory-mb` of the settings; a process that uses more is killed (DEPLOY.md)."""
-
-LONGEST_ANSWER_BYTES = 8_000_000
-"""A client that has received more than this closes its connection."""
-
-TARGETS = 4
-FAULTY = ("i-1", "i-2")
-"""Half of the targets of the service."""
-
-ENDS_PER_MACHINE = 3
-RUN_S = 75.0
-FINITE_BYTES = 2_000_000
-PART = b"%x\r\n" % 65536 + b"x" * 65536 + b"\r\n"
-
-
-async def send_large(target, request, reader, writer):
-    """Answer orders with a body that has no end until the caller closes, or with a finite one."""
-    if request["method"] != "POST" or target.target_id not in FAULTY:
-        return False
-    if request["headers"].get("x-expected-instance") != target.target_id:
-        return False
-    target.note_run(request)
-    headers = "".join(f"{name}: {value}\r\n" for name, value in target.seal(request, b""))
-    writer.write(f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{headers}\r\n".encode())
-    sent = 0
-    while TROUBLE or sent < FINITE_BYTES:
-        writer.write(PART)
-        sent += 65536
-        await writer.drain()
-    writer.write(b"0\r\n\r\n")
-    await writer.drain()
-    return True
-
-
-def order(fleet, record):
-    """Send one order; close if the answer is longer than any can be."""
-    received, ident, buffer = 0, None, b""
-    try:
-        client = Client(fleet.nodes[0].ip, OUTBOUND, record=record, timeout=7.0)
-        ident = client.send("POST", "/orders/1", body=b"x" * 300, deadline=6000)
-        while received <= LONGEST_ANSWER_BYTES:
-            data = client.socket.recv(65536)
-            received += len(data)
-            buffer = (buffer + data)[:4096]
-            if not data or _is_complete(buffer, data, received):
+REMOVED = 3
+INTERVAL_S = 1.0
+SUCCESSORS_RUN_S = 12.0
+"""Three times `catch-up` (4 s)."""
+
+RECOVERY_S = 15.0
+READ_S = 20.0
+
+
+def read_version(fleet, record):
+    """Read the configuration once from any running machine; None without it."""
+    for machine in fleet.controls:
+        ip = machine.ip
+        for _ in range(3):
+            answer = call(ip, CONTROL, "GET", "/api/config/read")
+            if answer is None or answer[0] != 307:
                 break
-        verdict = "closes an answer without end" if received > LONGEST_ANSWER_BYTES else "is answered"
-        record("CLIENT", ident, verdict, "after", received, "bytes:", buffer[:12])
-        client.close()
-    except OSError as error:
-        record("CLIENT", ident, "error", error, "after", received, "bytes")
-
-
-def _is_complete(buffer, data, received):
-    head, mark, _ = buffer.partition(b"\r\n\r\n")
-    if not mark:
-        return False
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return received >= len(head) + 4 + int(line.split(b":")[1])
-    return data.endswith(b"0\r\n\r\n")
+            ip = answer[1]["location"].split("//")[1].split(":")[0]
+        record("READ at", machine.name, answer and answer[0])
+        if answer is not None and answer[0] == 200:
+            return json.loads(answer[2])["version"]
+    return None
 
 
-def read(fleet, record, counts):
-    """Send one read, whose answer is short."""
-    try:
-        client = Client(fleet.nodes[0].ip, OUTBOUND, timeout=7.0)
-        ident, answer = client.request("GET", "/cards/1", deadline=6000)
-        client.close()
-        status = None if answer is None else answer[0]
-    except OSError:
-        ident, status = None, None
-    counts[status] = counts.get(status, 0) + 1
-    if status != 200:
-        record("READ", ident, "answered", status)
+def configure(version):
+    routes = [{"host": "jepu9.example", "path-prefix": "/orders/", "kind": "unsafe", "service": "wuno96b",
+               "timeout": f"{5000 + version}ms"}]
+    return make_config(version, routes, ["wuno96b"])
 
 
 def main():
     record = Record(HERE / "record.txt")
-    with Fleet(services=("wuno96b", *["huvo11a"] * TARGETS)) as fleet:
-        targets = []
-        for number, machine in enumerate(fleet.nodes):
-            target = Target(machine.ip, APP, CONTROL, service=machine.fields["service"],
-                            target_id=f"i-{number}", record=record)
-            target.hook = send_large
-            target.start()
-            target.ready.wait()
-            targets.append(target)
-        routes = [{"host": "jepu9.example", "path-prefix": "/cards/", "service": "huvo11a"}, {"host": "jepu9.example", "path-prefix": "/orders/", "service": "huvo11a",
-                   "kind": "unsafe", "timeout": "6000ms", "aim": "1000ms"}]
-        if submit(fleet, make_config(1, routes, ["wuno96b", "huvo11a"]), 0) != 200:
-            return 2
-        if not wait_for(lambda: all(machine.is_ready() for machine in fleet.nodes), 20):
-            return 2
-        time.sleep(3)
-        platform = Platform(fleet.nodes, memory_mb=MEMORY_MB, record=record)
-        platform.start()
-        ends_at = time.monotonic() + RUN_S
-        faulty = [fleet.nodes[number].name for number in (1, 2)]
-        reads, turn = {}, 0
-        while time.monotonic() < ends_at:
-            if all(platform.ends[name] >= ENDS_PER_MACHINE for name in faulty):
-                break
-            turn += 1
-            threading.Thread(target=read, args=(fleet, record, reads), daemon=True).start()
-            if turn % 2:
-                threading.Thread(target=order, args=(fleet, record), daemon=True).start()
-            time.sleep(0.25)
-        record("READS answered, by status:", reads)
-        platform.stop()
-        runs = sum(len(target.runs) for target in targets)
-        record("RESULT orders run:", runs, "peak MB:", {n: round(p) for n, p in platform.peaks.items()},
-               "ends:", platform.ends)
-        if runs == 0:
+    with Fleet(controls=5, services=("wuno96b",)) as fleet:
+        record("ACK of version 1:", submit(fleet, configure(1), 0))
+        time.sleep(8)
+        old = list(fleet.controls)
+        for number in range(REMOVED):
+            machine = Machine(fleet, "samphire-control", f"core-new-{number}", f"{fleet.prefix}.{20 + number}",
+                              SERVICE_ZONES[number])
+            # A successor starts with an empty disk, and `bootstrap` is false.
+            fleet.first_start = False
+            machine.start()
+            fleet.controls.append(machine)
+            record("ADDED", machine.name)
+            time.sleep(1.0)
+        time.sleep(SUCCESSORS_RUN_S)
+        status = submit(fleet, configure(2), 1)
+        record("ACK of version 2:", status)
+        if status != 200:
             return 2
-        broken = [n for n, count in platform.ends.items() if count >= ENDS_PER_MACHINE]
-        return 1 if len(broken) >= 2 else 0
+        if TROUBLE:
+            for machine in old[1 : 1 + REMOVED]:
+                machine.kill()
+                fleet.controls.remove(machine)
+                record("REMOVED for good", machine.name)
+                time.sleep(INTERVAL_S)
+        time.sleep(RECOVERY_S)
+        ended = [machine.name for machine in fleet.controls if machine.exit_status is not None]
+        version = None
+        until = time.monotonic() + READ_S
+        while version is None and time.monotonic() < until:
+            version = read_version(fleet, record)
+            time.sleep(0.5)
+        status = submit(fleet, configure(3), 2, timeout=10.0)
+        record("RESULT running core machines:", len(fleet.controls), "ended by themselves:", ended,
+               "acknowledged: 2, read back:", version, "- the next change:", status)
+        return 0 if version == 2 else 1
 
 
 if __name__ == "__main__":
