Measure the responses that wait on an agent's channels

Four places could hold the bytes: the connection to the backend server, the channel's outbox at the agent, the library's write buffer behind it, and the front's buffer. Neither logs nor metrics told them apart.

The outbox becomes a part of its own (channel_outbox.py) and counts the bytes of responses in it; agent.unsent_bytes reports them in steps of 1 MiB, so that ordinary responses cost no message. No change of behaviour.

--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -22,12 +22,13 @@
     ToFront,
 )
 from samphirespring.connection.channel_body import ChannelBody
+from samphirespring.connection.channel_outbox import ChannelOutbox, UnsentResponses
 from samphirespring.connection.credit import Credit
-from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.process.ids import HostId, TargetId, WorkKind
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import ForwardingSlot, InboxFullError, Mailbox, ReplySlot
+from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.shedding.retry_pool import RetryGrant
 from samphirespring.process.shedding.retry_pools import AcquirePooled, PoolsMessage
 from samphirespring.process.target_table_messages import (
@@ -46,7 +47,6 @@
 from samphirespring.request.selection import Candidate
 from samphirespring.request.states import RefusalCode
 
-OUTBOX_CAPACITY = 100_000
 UNLIMITED_BYTES = 1 << 62
 
 _log = EventLog()
@@ -89,6 +89,7 @@
         starter: Starts attempts.
         table: Inbox of the target table that selects targets for other fronts.
         pools: Inbox of the joint retry budgets; None decides on no retries.
+        metrics: Receives how much waits to be sent; None records nothing.
     """
 
     def __init__(
@@ -97,13 +98,20 @@
         *,
         table: Mailbox[TableMessage],
         pools: Mailbox[PoolsMessage] | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._starter = starter
         self._table = table
         self._pools = pools
+        self._unsent = UnsentResponses(metrics)
         self._channels: dict[HostId, _ServedChannel] = {}
         """The latest channel on which each host asked for targets."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that wait to be sent to fronts."""
+        return self._unsent.size_bytes
+
     async def serve(
         self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
     ) -> None:
@@ -114,7 +122,11 @@
             send: Sends a message to the front; waits while the front reads slowly.
         """
         channel = _ServedChannel(
-            self._starter, self._table, self._pools, on_ask=self._replace_channel
+            self._starter,
+            self._table,
+            self._pools,
+            outbox=ChannelOutbox(self._unsent),
+            on_ask=self._replace_channel,
         )
         try:
             await channel.serve(messages, send)
@@ -138,6 +150,7 @@
         starter: Starts attempts.
         table: Inbox of the target table.
         pools: Inbox of the joint retry budgets, if there are any.
+        outbox: Messages to the front.
         on_ask: Called with the channel and the host of its front when that first asks for a target.
     """
 
@@ -147,6 +160,7 @@
         table: Mailbox[TableMessage],
         pools: Mailbox[PoolsMessage] | None,
         *,
+        outbox: ChannelOutbox,
         on_ask: Callable[["_ServedChannel", HostId], None],
     ) -> None:
         self._starter = starter
@@ -164,7 +178,7 @@
         """Selections that the table hasn't made yet."""
 
         self._attempts: dict[ChannelNumber, _OpenedAttempt] = {}
-        self._outbox: Mailbox[ToFront] = Mailbox(name="attempt_channel", capacity=OUTBOX_CAPACITY)
+        self._outbox = outbox
 
     async def serve(
         self, messages: AsyncIterator[ToAgent], send: Callable[[ToFront], Awaitable[None]]
@@ -172,7 +186,7 @@
         try:
             with self._scope:
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self._send_all, send)
+                    group.start_soon(self._outbox.send_all, send)
                     async for message in messages:
                         self._handle(message)
                     group.cancel_scope.cancel()
@@ -188,15 +202,6 @@
         """End the channel, as if its front had closed it."""
         self._scope.cancel()
 
-    async def _send_all(self, send: Callable[[ToFront], Awaitable[None]]) -> None:
-        while True:
-            message = await self._outbox.receive()
-            try:
-                await send(message)
-            except LinkUnavailableError:
-                # The messages of the front end, too, which ends the channel.
-                return
-
     def _handle(self, message: ToAgent) -> None:
         match message:
             case OpenAttempt():
@@ -234,7 +239,7 @@
             self._table.post(request)
         except InboxFullError:
             # The front then asks its own table, which has less to do.
-            self._post(TargetSelected(number=message.number, candidate=None))
+            self._outbox.post(TargetSelected(number=message.number, candidate=None))
             return
         self._asked[message.number] = slot
 
@@ -243,7 +248,7 @@
         if candidate is not None:
             used = _UsedTarget(target=candidate.target, kind=message.terms.kind)
             self._selected[message.number] = used
-        self._post(TargetSelected(number=message.number, candidate=candidate))
+        self._outbox.post(TargetSelected(number=message.number, candidate=candidate))
 
     def _end_selection(self, message: EndSelection) -> None:
         slot = self._asked.get(message.number)
@@ -262,15 +267,15 @@
     def _ask_retry(self, message: AskRetry) -> None:
         number = message.number
         if self._pools is None:
-            self._post(RetryDecided(number=number, grant=None))
+            self._outbox.post(RetryDecided(number=number, grant=None))
             return
         slot = ForwardingSlot[RetryGrant](
-            lambda grant: self._post(RetryDecided(number=number, grant=grant))
+            lambda grant: self._outbox.post(RetryDecided(number=number, grant=grant))
         )
         try:
             self._pools.post(AcquirePooled(ask=message.ask, reply=slot))
         except InboxFullError:
-            self._post(RetryDecided(number=number, grant=None))
+            self._outbox.post(RetryDecided(number=number, grant=None))
 
     def _open(self, message: OpenAttempt) -> None:
         number = message.number
@@ -278,24 +283,19 @@
         body = None
         if message.request.body_follows:
             body = ChannelBody(
-                lambda size_bytes: self._post(GrantCredit(number=number, size_bytes=size_bytes))
+                lambda size_bytes: self._outbox.post(
+                    GrantCredit(number=number, size_bytes=size_bytes)
+                )
             )
-        sink = _ChannelSink(number, credit, post=self._post, forget=self._forget)
+        sink = _ChannelSink(number, credit, outbox=self._outbox, forget=self._forget)
         try:
             handle = self._starter.start(message.request, body=body, sink=sink)
         except InboxFullError:
             refusal = AttemptRefused(attempt=message.request.attempt, code=RefusalCode.SHEDDING)
-            self._post(AttemptFrames(number=number, frames=(refusal,)))
+            self._outbox.post(AttemptFrames(number=number, frames=(refusal,)))
             return
         self._attempts[number] = _OpenedAttempt(credit=credit, body=body, handle=handle)
 
-    def _post(self, message: ToFront) -> None:
-        try:
-            self._outbox.post(message)
-        except InboxFullError:
-            # The front doesn't read any more; its link is about to break.
-            return
-
     def _forget(self, number: ChannelNumber) -> None:
         self._attempts.pop(number, None)
 
@@ -306,7 +306,7 @@
     Args:
         number: Number of the attempt.
         credit: The credit for the response's body.
-        post: Appends a message to the channel's outbox.
+        outbox: Messages to the front.
         forget: Drops the attempt.
     """
 
@@ -315,12 +315,12 @@
         number: ChannelNumber,
         credit: Credit,
         *,
-        post: Callable[[ToFront], None],
+        outbox: ChannelOutbox,
         forget: Callable[[ChannelNumber], None],
     ) -> None:
         self._number = number
         self._credit = credit
-        self._post = post
+        self._outbox = outbox
         self._forget = forget
 
     async def send(self, batch: FrameBatch) -> None:
@@ -328,7 +328,8 @@
         size_bytes = sum(len(f.data) for f in batch.frames if isinstance(f, ResponseChunk))
         if size_bytes:
             await self._credit.spend(size_bytes)
-        self._post(AttemptFrames(number=self._number, frames=batch.frames))
+        message = AttemptFrames(number=self._number, frames=batch.frames)
+        self._outbox.post(message, size_bytes=size_bytes)
 
     def close(self) -> None:
         """Drop the attempt, which has ended."""
--- a/src/samphirespring/process/composition/node.py
+++ b/src/samphirespring/process/composition/node.py
@@ -233,7 +233,10 @@
         )
         retry_pools = RetryPools(timers=self._timers)
         self._attempt_channel_server = AttemptChannelServer(
-            self._attempt_runner, table=target_table.inbox, pools=retry_pools.inbox
+            self._attempt_runner,
+            table=target_table.inbox,
+            pools=retry_pools.inbox,
+            metrics=metrics,
         )
         path_prober = PathProber(
             inbox=target_table.path_prober_inbox,
--- a/src/samphirespring/process/metrics/metric_names.py
+++ b/src/samphirespring/process/metrics/metric_names.py
@@ -90,6 +90,7 @@
     AGENT_QUEUE_WAITING = "agent.queue.waiting"
     AGENT_SLOTS = "agent.slots.all"
     AGENT_SLOTS_USED = "agent.slots.used"
+    AGENT_UNSENT_BYTES = "agent.unsent_bytes"
     LEDGER_CLAIMS = "ledger.claims.GROUP.STATE"
     REGISTRY_HELD = "registry.held"
     DOCUMENT_VERSION = "document.version"
