Keep nothing of a response whose front has left, and bound what waits for one that reads nothing

Cause: FrameSink says that a sink drops what comes once its front has left. The sink of a channel didn't: leaving granted the attempt unlimited credit, so that an action isn't held up, and each batch of 64 KiB went on to the channel's outbox, which is bounded in messages (100,000), not in bytes. If the channel itself had ended, nobody read the outbox any more.

Change: leaving closes the credit, which ends the wait and drops the rest. An action whose front has left reads 1 MiB more at most and closes its connection (abandoned_response_cut); a shorter rest is read to its end, so that the action isn't disturbed. A channel that has ended drops its outbox. What waits on all channels is bounded in bytes: over 16 MiB a channel with more than its share gets its attempts refused, as not run.

--- a/src/samphirespring/connection/channel_outbox.py
+++ b/src/samphirespring/connection/channel_outbox.py
@@ -11,12 +11,19 @@
 OUTBOX_CAPACITY = 100_000
 """Largest number of messages that wait on one channel."""
 
+UNSENT_LIMIT_BYTES = 16 << 20
+"""Bytes of responses that may wait on all channels before those with most get no more attempts."""
+
 REPORT_STEP_BYTES = 1 << 20
 """Change of the sum from which it is reported again; most responses are short and leave at once."""
 
 
 class UnsentResponses:
-    """Counts the bytes of responses that wait on all channels of the process.
+    """Bounds the bytes of responses that wait on all channels of the process.
+
+    Over `UNSENT_LIMIT_BYTES`, a channel that holds more than its share is full: its front gets no
+    further attempts until it has read. So a front that is frozen, or behind a broken network,
+    neither fills the memory of the process nor keeps the other fronts from being served.
 
     Args:
         metrics: Receives the sum; None counts for the process alone.
@@ -28,6 +35,19 @@
         self.size_bytes = 0
         """Bytes of all responses that wait."""
 
+        self.channel_count = 0
+        """Number of channels on which any wait."""
+
+    def is_full(self, held_bytes: int) -> bool:
+        """Return whether a channel holds more than its share while all together hold too much.
+
+        Args:
+            held_bytes: Bytes that wait on the channel.
+        """
+        if self.size_bytes < UNSENT_LIMIT_BYTES:
+            return False
+        return held_bytes * self.channel_count >= UNSENT_LIMIT_BYTES
+
     def add(self, size_bytes: int) -> None:
         """Count bytes that wait from now on, or no longer if negative.
 
@@ -46,7 +66,7 @@
     """Queue of the messages of one channel; posting never waits.
 
     Args:
-        unsent: Counts the bytes of responses that wait.
+        unsent: Bounds the bytes of responses that wait.
     """
 
     def __init__(self, unsent: UnsentResponses) -> None:
@@ -54,14 +74,23 @@
         self._messages: Mailbox[tuple[ToFront, int]] = Mailbox(
             name="attempt_channel", capacity=OUTBOX_CAPACITY
         )
+        self._size_bytes = 0
+        self._is_closed = False
+
+    @property
+    def has_room(self) -> bool:
+        """Whether the front may get the responses of further attempts."""
+        return not self._unsent.is_full(self._size_bytes)
 
     def post(self, message: ToFront, *, size_bytes: int = 0) -> None:
-        """Append a message; it is dropped if too many wait.
+        """Append a message; it is dropped if the channel has ended or too many wait.
 
         Args:
             message: The message.
             size_bytes: Bytes of a response's body that it holds.
         """
+        if self._is_closed:
+            return
         try:
             self._messages.post((message, size_bytes))
         except InboxFullError:
@@ -84,6 +113,18 @@
                 return
             self._count(-size_bytes)
 
+    def close(self) -> None:
+        """Drop what waits, and all later messages: the channel has ended."""
+        self._is_closed = True
+        self._messages.receive_waiting()
+        self._count(-self._size_bytes)
+
     def _count(self, size_bytes: int) -> None:
-        if size_bytes:
-            self._unsent.add(size_bytes)
+        if not size_bytes:
+            return
+        if self._size_bytes == 0:
+            self._unsent.channel_count += 1
+        self._size_bytes += size_bytes
+        if self._size_bytes == 0:
+            self._unsent.channel_count -= 1
+        self._unsent.add(size_bytes)
--- a/src/samphirespring/connection/channel_server.py
+++ b/src/samphirespring/connection/channel_server.py
@@ -47,8 +47,6 @@
 from samphirespring.request.selection import Candidate
 from samphirespring.request.states import RefusalCode
 
-UNLIMITED_BYTES = 1 << 62
-
 _log = EventLog()
 
 
@@ -193,6 +191,7 @@
         finally:
             for attempt in self._attempts.values():
                 _end(attempt)
+            self._outbox.close()
             for slot in self._asked.values():
                 slot.abandoned = True
             for used in self._selected.values():
@@ -279,6 +278,9 @@
 
     def _open(self, message: OpenAttempt) -> None:
         number = message.number
+        if not self._outbox.has_room:
+            self._refuse(message)
+            return
         credit = Credit(RESPONSE_CREDIT_BYTES)
         body = None
         if message.request.body_follows:
@@ -291,11 +293,14 @@
         try:
             handle = self._starter.start(message.request, body=body, sink=sink)
         except InboxFullError:
-            refusal = AttemptRefused(attempt=message.request.attempt, code=RefusalCode.SHEDDING)
-            self._outbox.post(AttemptFrames(number=number, frames=(refusal,)))
+            self._refuse(message)
             return
         self._attempts[number] = _OpenedAttempt(credit=credit, body=body, handle=handle)
 
+    def _refuse(self, message: OpenAttempt) -> None:
+        refusal = AttemptRefused(attempt=message.request.attempt, code=RefusalCode.SHEDDING)
+        self._outbox.post(AttemptFrames(number=message.number, frames=(refusal,)))
+
     def _forget(self, number: ChannelNumber) -> None:
         self._attempts.pop(number, None)
 
@@ -324,10 +329,12 @@
         self._forget = forget
 
     async def send(self, batch: FrameBatch) -> None:
-        """Append a batch to the outbox."""
+        """Append a batch to the outbox; nothing is kept for a front that has left."""
+        if self._credit.is_closed:
+            return
         size_bytes = sum(len(f.data) for f in batch.frames if isinstance(f, ResponseChunk))
-        if size_bytes:
-            await self._credit.spend(size_bytes)
+        if size_bytes and not await self._credit.spend(size_bytes):
+            return
         message = AttemptFrames(number=self._number, frames=batch.frames)
         self._outbox.post(message, size_bytes=size_bytes)
 
@@ -340,5 +347,5 @@
     attempt.handle.cancel()
     if attempt.body is not None:
         attempt.body.abort()
-    # An action that goes on isn't held up by a front that has left.
-    attempt.credit.grant(UNLIMITED_BYTES)
+    # An action that goes on isn't held up by a front that has left, and nothing is kept for it.
+    attempt.credit.close()
--- a/src/samphirespring/process/attempt_runner.py
+++ b/src/samphirespring/process/attempt_runner.py
@@ -51,7 +51,8 @@
         body: Provides the request's body if it isn't part of the request.
         sink: Receives the frames.
         wait_scope: Scope of the wait for a slot; cancelled when the front disconnects.
-        cancel_scope: Scope of an idempotent attempt that runs; cancelled at the same time.
+        cancel_scope: Scope of an idempotent attempt that runs; cancelled at the same time. An
+            action goes on, and reads only a short rest of its response.
     """
 
     request: AttemptRequest
@@ -261,6 +262,7 @@
             upstream=self._upstream,
             timers=self._timers,
             wait=wait,
+            is_abandoned=lambda: message.cancel_scope.cancel_called,
         )
         cancel_scope = message.cancel_scope if request.idempotent else nullcontext()
         limit = self._timers.move_on_at(deadline_at_s)
--- a/src/samphirespring/process/logs/log_events.py
+++ b/src/samphirespring/process/logs/log_events.py
@@ -26,6 +26,7 @@
     REQUEST_FAILED = "request_failed"
     REQUEST_ENDED = "request_ended"
     ATTEMPT_ERROR = "attempt_error"
+    ABANDONED_RESPONSE_CUT = "abandoned_response_cut"
     REQUEST_LINES_OMITTED = "request_lines_omitted"
     CALLERS_LIMITED = "callers_limited"
     CONTROL_CALL_FAILED = "control_call_failed"
--- a/src/samphirespring/request/attempt_execution.py
+++ b/src/samphirespring/request/attempt_execution.py
@@ -1,5 +1,7 @@
 """Runs an admitted attempt at a backend server and classifies its result."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from samphirespring.connection.refusals import TypedRefusal
@@ -29,6 +31,11 @@
 )
 from samphirespring.request.states import FailureKind, RefusalCode
 
+ABANDONED_RESPONSE_BYTES = 1 << 20
+"""Bytes of a response's body that are read after its front has left.
+
+A short rest is read, so that the action ends undisturbed and its connection can be used again."""
+
 _log = EventLog()
 
 
@@ -41,6 +48,7 @@
         upstream: Connections to backend servers.
         timers: The timer service.
         wait: Tracks how long the attempt waits for the target.
+        is_abandoned: Returns whether the front has left; the attempt goes on as an action does.
     """
 
     def __init__(
@@ -51,9 +59,14 @@
         upstream: UpstreamClient,
         timers: TimerService,
         wait: AttemptWait,
+        is_abandoned: Callable[[], bool],
     ) -> None:
         self._request = request
         self._wait = wait
+        self._is_abandoned = is_abandoned
+        self._abandoned_bytes = 0
+        """Bytes of the body that were read after the front had left."""
+
         self._admission = admission
         self._upstream = upstream
         self._refusal_reader = upstream.make_refusal_reader()
@@ -91,14 +104,12 @@
                 refusal_reader=self._refusal_reader,
             ) as frames:
                 async for frame in frames:
-                    if isinstance(frame, ResponseHead):
-                        self._inspector.feed_head(frame)
-                        self._capture.add_head(frame.status, frame.headers)
-                    else:
-                        self._inspector.feed_chunk(frame.data)
-                        self._capture.add_chunk(frame.data)
-                        self.body_length += len(frame.data)
-                    await self._forward_frame(batcher, frame)
+                    self._read_frame(frame)
+                    if not self._is_abandoned():
+                        await self._forward_frame(batcher, frame)
+                    elif self._abandoned_bytes > ABANDONED_RESPONSE_BYTES:
+                        self._end_abandoned()
+                        return
             self.complete = True
         except SendRefusedError as refusal:
             self._send_refusal = refusal.code
@@ -109,6 +120,27 @@
             _log.exception(LogEvent.ATTEMPT_ERROR, attempt=self._request.attempt)
             self.fail(FailureKind.CUT, started=True)
 
+    def _read_frame(self, frame: ResponseHead | ResponseChunk) -> None:
+        if isinstance(frame, ResponseHead):
+            self._inspector.feed_head(frame)
+            self._capture.add_head(frame.status, frame.headers)
+            return
+        self._inspector.feed_chunk(frame.data)
+        self._capture.add_chunk(frame.data)
+        self.body_length += len(frame.data)
+        if self._is_abandoned():
+            self._abandoned_bytes += len(frame.data)
+
+    def _end_abandoned(self) -> None:
+        _log.info(
+            LogEvent.ABANDONED_RESPONSE_CUT,
+            attempt=self._request.attempt,
+            request=self._request.request,
+            target=self._request.target,
+            body_bytes=self.body_length,
+        )
+        self.fail(FailureKind.CANCELLED, started=True)
+
     def evaluate_response(self, *, response_sent: bool) -> None:
         """Evaluate the complete response before its last frame is sent.
 
