Give votes to hosts that join a complete group at once, not after an earlier voter was lost

What operators saw: three successors had run for 12 s, then three of the five old control hosts were removed for good, without SIGTERM, one a second.

Cause: a host that joined a group with enough voters stayed a learner until a voter had been silent for 3 s. The three old hosts went within that time, with three votes of five.

Hypotheses weighed: the successors hadn't caught up; they had, but no membership change began in time; a change had begun and couldn't commit. membership_change_started and the simulation tell them apart: no change was proposed between the join of the learners and the third removal.

Change: a learner that has caught up takes the place of an earlier voter at once: it is promoted, and the earlier voter gives its vote up and stays as a learner, which gets a vote again if another voter is lost. Which voter: the one of the same failure domain, else of the domain with most voters, else the one that joined first; a voter whose predecessor still runs is passed over, so that each of several successors takes another place. A leader whose vote is to go hands over the lead first. The group has one voter too many in between (six of them bear the loss of two as five do). As many learners as voters may wait, so that all hosts can be replaced at once. Members tell their failure domain; where it isn't known, what joined first gives way.

--- a/src/samphirespring/process/control_groups.py
+++ b/src/samphirespring/process/control_groups.py
@@ -96,6 +96,7 @@
             timing=timing or (ReplicaTiming() if settings.lease_reads else ROUND_TIMING),
             limits=limits or GroupLimits(),
             discovery=_make_discovery(settings.discovery),
+            failure_domain=settings.locality.failure_domain,
         )
         self._lease_reads = settings.lease_reads
         self._groups: dict[GroupId, ReplicatedGroup[Any, Any, Any]] = {}
--- a/src/samphirespring/process/replication/context.py
+++ b/src/samphirespring/process/replication/context.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from samphirespring.process.ids import ReplicaId
+from samphirespring.process.ids import FailureDomainName, ReplicaId
 from samphirespring.process.metrics.metrics import Metrics
 from samphirespring.process.replication.discovery import Discovery
 from samphirespring.process.replication.disk import Disk
@@ -48,6 +48,7 @@
         timing: Intervals and timeouts of the consensus protocol.
         limits: Bounds of each replica.
         discovery: How members are found if `peers` names only some hosts; None if it names all.
+        failure_domain: Failure domain of this host; None if it isn't known.
     """
 
     replica: ReplicaId
@@ -61,3 +62,4 @@
     timing: ReplicaTiming = msgspec.field(default_factory=ReplicaTiming)
     limits: GroupLimits = msgspec.field(default_factory=GroupLimits)
     discovery: Discovery | None = None
+    failure_domain: FailureDomainName | None = None
--- a/src/samphirespring/process/replication/discovery.py
+++ b/src/samphirespring/process/replication/discovery.py
@@ -8,11 +8,9 @@
 from samphirespring.process.replication.entries import Member, Membership
 from samphirespring.process.replication.membership_plan import is_caught_up
 from samphirespring.process.replication.progress import FollowerProgress
+from samphirespring.process.replication.succession import find_predecessor, find_surplus_voter
 from samphirespring.process.states import MemberStanding
 
-MAX_LEARNERS = 4
-"""Largest number of learners; further control hosts wait until one is promoted or removed."""
-
 
 class Discovery(msgspec.Struct, frozen=True, kw_only=True):
     """How members are found: the hosts that form a new group, and the number of voters it grows to.
@@ -42,9 +40,10 @@
 ) -> Membership | None:
     """Return the next membership, or None if no change is due.
 
-    Control hosts that announce themselves become learners, and are promoted until the group has
-    enough voters. A voter that is unresponsive or about to stop is removed only once a learner has
-    caught up.
+    Control hosts that announce themselves become learners, as many as there are to be voters, and
+    are promoted until the group has enough voters. A voter that is unresponsive or about to stop is
+    removed only once a learner has caught up. A learner that joined after a voter takes its place;
+    the group has one voter too many in between.
 
     Args:
         membership: The newest membership, which is committed.
@@ -59,7 +58,7 @@
     learners = [m for m in membership.members if m.standing is MemberStanding.LEARNER]
     leaving = {*unresponsive, *departing}
     for joiner in joiners:
-        if membership.find_replica(joiner.replica) is None and len(learners) < MAX_LEARNERS:
+        if membership.find_replica(joiner.replica) is None and len(learners) < voter_goal:
             return membership.add_learner(joiner)
     ready = [
         m
@@ -68,12 +67,25 @@
         and m.member not in leaving
         and is_caught_up(followers.get(m.member), commit_index)
     ]
-    if ready and len(membership.voters) < voter_goal:
-        return membership.promote(ready[0].member)
     lost = [v for v in membership.voters if v in leaving and v != leader]
+    if len(membership.voters) > voter_goal:
+        return membership.remove(lost[0]) if lost else _plan_demotion(membership, leader=leader)
+    if ready and len(membership.voters) < voter_goal:
+        return membership.promote(ready[-1].member)
     if ready and lost:
         return membership.remove(lost[0])
+    for learner in ready:
+        if find_predecessor(membership, learner) is not None:
+            return membership.promote(learner.member)
     for learner in learners:
         if learner.member in leaving:
             return membership.remove(learner.member)
     return None
+
+
+def _plan_demotion(membership: Membership, *, leader: MemberId) -> Membership | None:
+    """Return the membership without the surplus vote, or None while the leader holds it."""
+    surplus = find_surplus_voter(membership)
+    if surplus is None or surplus.member == leader:
+        return None
+    return membership.demote(surplus.member)
--- a/src/samphirespring/process/replication/entries.py
+++ b/src/samphirespring/process/replication/entries.py
@@ -5,7 +5,14 @@
 import msgspec
 
 from samphirespring.process.errors import InternalError
-from samphirespring.process.ids import GroupLineage, LogIndex, MemberId, ReplicaId, Term
+from samphirespring.process.ids import (
+    FailureDomainName,
+    GroupLineage,
+    LogIndex,
+    MemberId,
+    ReplicaId,
+    Term,
+)
 from samphirespring.process.states import MemberStanding
 
 
@@ -19,11 +26,15 @@
     replaces: MemberId | None = None
     """Member that leaves the group once this learner has caught up."""
 
+    failure_domain: FailureDomainName | None = None
+    """Failure domain of the host; None if it isn't known."""
+
 
 class Membership(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The members of a group; a replica uses a membership as soon as it is appended."""
 
     members: tuple[Member, ...] = ()
+    """In the order in which they joined; a voter that gave its vote up goes before all others."""
 
     @property
     def voters(self) -> tuple[MemberId, ...]:
@@ -86,6 +97,19 @@
             )
         )
 
+    def demote(self, member: MemberId) -> "Membership":
+        """Return the membership with a voter as its first learner.
+
+        Args:
+            member: The voter.
+        """
+        demoted = tuple(
+            msgspec.structs.replace(m, standing=MemberStanding.LEARNER)
+            for m in self.members
+            if m.member == member
+        )
+        return Membership(members=(*demoted, *self.remove(member).members))
+
     def remove(self, member: MemberId) -> "Membership":
         """Return the membership without a member.
 
--- a/src/samphirespring/process/replication/group_member.py
+++ b/src/samphirespring/process/replication/group_member.py
@@ -128,7 +128,7 @@
         if planned is not None:
             _log.info(LogEvent.MEMBERSHIP_CHANGE_STARTED, group=self._group, voters=planned.voters)
             self.replica.propose_membership(planned)
-        successor = self.membership_coordinator.transfer_to_placed_replica(now_s)
+        successor = self.membership_coordinator.hand_over_leadership(now_s)
         if successor is not None:
             _log.info(LogEvent.LEADERSHIP_HANDED_OVER, group=self._group, replica=successor)
         if self._is_departing:
--- a/src/samphirespring/process/replication/membership_coordinator.py
+++ b/src/samphirespring/process/replication/membership_coordinator.py
@@ -16,6 +16,7 @@
 from samphirespring.process.replication.membership_plan import is_caught_up, plan_replacement
 from samphirespring.process.replication.placement_plan import find_successors, plan_move
 from samphirespring.process.replication.replica import Replica
+from samphirespring.process.replication.succession import find_newest_voter, find_surplus_voter
 from samphirespring.process.states import MemberStanding
 
 ANNOUNCEMENT_VALIDITY_S = 5.0
@@ -163,18 +164,40 @@
             commit_index=self._replica.commit_index,
         )
 
-    def transfer_to_placed_replica(self, now_s: float) -> ReplicaId | None:
-        """Transfer leadership if this host is not to hold the group; return the successor or None.
+    def hand_over_leadership(self, now_s: float) -> ReplicaId | None:
+        """Transfer leadership if this host is to give it or its vote up.
 
         Args:
             now_s: Monotonic time, in seconds.
+
+        Returns:
+            The successor; None if the leadership wasn't transferred.
         """
-        if self._placed is None or self._replica.leadership is None:
+        if self._replica.leadership is None:
+            return None
+        if self._placed is not None:
+            return self._transfer_to_placed_replica(self._placed, now_s=now_s)
+        if not self._is_surplus():
             return None
+        successor = find_newest_voter(self._replica.log.membership).replica
+        return self.transfer_leadership(successor, now_s=now_s) or self.transfer_leadership(
+            None, now_s=now_s
+        )
+
+    def _is_surplus(self) -> bool:
+        """Return whether this leader's own vote is the one that its group has too many."""
+        membership = self._replica.log.membership
+        if self._voter_goal is None or len(membership.voters) <= self._voter_goal:
+            return False
+        surplus = find_surplus_voter(membership)
+        is_own = surplus is not None and surplus.member == self._replica.member
+        return is_own and self._replica.may_change_membership()
+
+    def _transfer_to_placed_replica(
+        self, placed: Collection[ReplicaId], *, now_s: float
+    ) -> ReplicaId | None:
         membership = self._replica.log.membership
-        for replica in find_successors(
-            membership, placed=self._placed, leader=self._replica.member
-        ):
+        for replica in find_successors(membership, placed=placed, leader=self._replica.member):
             if self.transfer_leadership(replica, now_s=now_s) is not None:
                 return replica
         return None
--- a/src/samphirespring/process/replication/session.py
+++ b/src/samphirespring/process/replication/session.py
@@ -142,7 +142,10 @@
         self._member = GroupMember(
             group=group,
             own=Member(
-                member=identity.member, replica=context.replica, link_address=context.link_address
+                member=identity.member,
+                replica=context.replica,
+                link_address=context.link_address,
+                failure_domain=context.failure_domain,
             ),
             identity=identity,
             stored=stored,
--- a/tests/replication/sim_host.py
+++ b/tests/replication/sim_host.py
@@ -63,6 +63,7 @@
         self.discovery = None
         """How members are found if the settings name only some hosts; read at each start."""
         self.quarantined_count = 0
+        self.failure_domain = None
         self.suspended_at_s = None
         self.was_suspended = False
         self.clock_rate = random.uniform(0.97, 1.03)
@@ -115,6 +116,7 @@
                 member=opened.identity.member,
                 replica=ReplicaId(self.name),
                 link_address=self.address,
+                failure_domain=self.failure_domain,
             ),
             identity=opened.identity,
             stored=opened.stored,
