Tell a link's handler that the client has gone, whatever the library raises

Cause: a reply on a stream that is closed by then raises an error of h2, which the server's end of a link didn't know, unlike the client's end. It ended the handler of the call as an unforeseen error.

Change: both ends of a call know the same errors. The new scenario of link_break errored before (StreamClosedError) and passes now.

--- a/src/samphirespring/connection/link_server.py
+++ b/src/samphirespring/connection/link_server.py
@@ -7,6 +7,7 @@
 from typing import Any, ClassVar, Generic
 
 import grpclib.server
+import h2.exceptions
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
@@ -32,6 +33,9 @@
 """Longer than a client waits for a server: a host that was only suspended for some seconds still
 gets the responses to what it sent before."""
 
+CLIENT_GONE_ERRORS = (StreamTerminatedError, ProtocolError, h2.exceptions.ProtocolError, OSError)
+"""What the library raises on a call whose client has left or whose link broke."""
+
 _log = EventLog()
 
 
@@ -164,7 +168,7 @@
         async def send(reply: ReplyT) -> None:
             try:
                 await stream.send_message(reply)
-            except (StreamTerminatedError, ProtocolError, OSError) as error:
+            except CLIENT_GONE_ERRORS as error:
                 raise LinkUnavailableError(f"the client has gone: {error}", sent=True) from None
 
         await self._handle(_iterate_until_closed(stream), send)
@@ -219,7 +223,7 @@
     try:
         while (request := await _receive_message(stream)) is not None:
             yield request
-    except (StreamTerminatedError, ProtocolError, OSError):
+    except CLIENT_GONE_ERRORS:
         return
 
 
--- a/tests/features/link_break.feature
+++ b/tests/features/link_break.feature
@@ -40,3 +40,10 @@
     Given a host that ignores connection requests
     When a task makes a call with a timeout of 10 s
     Then the call fails with "link_unavailable" within 1.0 s
+
+  # Guards against an error of the library that the server didn't know: it ended the call's handler
+  # with a traceback instead of telling it that the client had gone.
+  Scenario: A server that replies on a stream that is closed is told that the client has gone
+    Given a call whose stream was closed just before a reply
+    When the server sends the reply
+    Then the sender is told "link_unavailable"
--- a/tests/features/steps/link_break_steps.py
+++ b/tests/features/steps/link_break_steps.py
@@ -4,11 +4,14 @@
 
 import anyio
 import grpclib.client
+import h2.exceptions
 from behave import given, then, when
 
+from samphirespring.connection.attempt_channel import RUN_ATTEMPTS
 from samphirespring.connection.attempt_link import RUN_ATTEMPT
 from samphirespring.connection.document_link import WATCH_DOCUMENT, WatchDocument
 from samphirespring.connection.link_client import Link
+from samphirespring.connection.link_server import DuplexHandler
 from samphirespring.process.errors import SamphireError
 from samphirespring.version.stamp import NO_STAMP
 
@@ -183,3 +186,34 @@
 def step_check_soon(context, code, limit):
     assert context.code == code
     assert context.duration_s <= limit, context.duration_s
+
+
+class ClosedStream:
+    """A server's stream that was closed while its handler prepared a reply."""
+
+    async def recv_message(self):
+        await anyio.sleep_forever()
+
+    async def send_message(self, message):
+        raise h2.exceptions.StreamClosedError(1)
+
+
+@given("a call whose stream was closed just before a reply")
+def step_closed_stream(context):
+    context.stream = ClosedStream()
+
+
+@when("the server sends the reply")
+def step_send_reply(context):
+    async def handle(messages, send):
+        try:
+            await send(None)
+        except SamphireError as error:
+            context.code = error.code.value
+
+    anyio.run(DuplexHandler(RUN_ATTEMPTS, handle)._serve, context.stream)
+
+
+@then('the sender is told "{code}"')
+def step_check_told(context, code):
+    assert context.code == code, context.code
