Hold no request of an ended attempt for an agent that reads nothing

Change: the outbox holds the attempt's number, and the request stays with the attempt, which ends with it.

--- a/src/samphirespring/connection/channel_client.py
+++ b/src/samphirespring/connection/channel_client.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from samphirespring.connection.attempt_channel import (
@@ -50,14 +51,26 @@
 """Largest part of a body that is sent in one message."""
 
 
+class _StartAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """Place of an attempt's request in the outbox.
+
+    The request itself stays with the attempt: while the agent reads nothing, attempts that have
+    ended hold no memory.
+    """
+
+    number: ChannelNumber
+
+
 class _OpenedAttempt:
     """An attempt on the channel, from its start until its last frame.
 
     Args:
+        request: The attempt.
         body: The request's body if it isn't sent with the attempt.
     """
 
-    def __init__(self, body: RequestBody | None) -> None:
+    def __init__(self, request: AttemptRequest, body: RequestBody | None) -> None:
+        self.request = request
         self.was_sent = False
         """Whether any byte of it may have reached the agent."""
 
@@ -121,7 +134,9 @@
         self._attempts: dict[ChannelNumber, _OpenedAttempt] = {}
         self._asked: dict[ChannelNumber, ReplySlot[Candidate | None]] = {}
         self._asked_retries: dict[ChannelNumber, ReplySlot[RetryGrant | None]] = {}
-        self._outbox: Mailbox[ToAgent] = Mailbox(name="attempt_channel", capacity=OUTBOX_CAPACITY)
+        self._outbox: Mailbox[ToAgent | _StartAttempt] = Mailbox(
+            name="attempt_channel", capacity=OUTBOX_CAPACITY
+        )
         self._next_number = 1
 
     async def run(self, link: Link) -> None:
@@ -154,10 +169,10 @@
         """
         self._check_open()
         number = self._draw_number()
-        attempt = _OpenedAttempt(body if request.body_follows else None)
+        attempt = _OpenedAttempt(request, body if request.body_follows else None)
         self._attempts[number] = attempt
         try:
-            self._outbox.post(OpenAttempt(number=number, request=request))
+            self._outbox.post(_StartAttempt(number=number))
             yield self._iterate_frames(number, attempt)
         finally:
             attempt.body_scope.cancel()
@@ -255,12 +270,13 @@
     async def _send_all(self, duplex: Duplex[ToAgent, ToFront]) -> None:
         while True:
             message = await self._outbox.receive()
-            attempt = self._attempts.get(message.number)
-            if isinstance(message, OpenAttempt):
+            if isinstance(message, _StartAttempt):
+                attempt = self._attempts.get(message.number)
                 if attempt is None:
                     # The request has ended in the meantime; its cancellation follows.
                     continue
                 attempt.was_sent = True
+                message = OpenAttempt(number=message.number, request=attempt.request)
             try:
                 await duplex.send(message)
             except SamphireError as error:
--- a/tests/features/channel.feature
+++ b/tests/features/channel.feature
@@ -42,6 +42,13 @@
       | can't be opened                 | can't   |
       | ends while the attempt runs     | may     |
 
+  # Guards against a front that keeps the bodies of requests which have long ended, because the agent
+  # that was to get them is frozen.
+  Scenario: Attempts that have ended hold no memory while their agent reads nothing
+    Given an agent that reads nothing from its channel
+    When 150 attempts with bodies of 200 KiB are sent and left one after the other
+    Then the front's memory has grown by at most 4 MiB
+
   Scenario: An agent of an earlier version gets its attempts one by one
     Given an agent that knows no channels and responds with 3 chunks
     When attempts are sent until one is complete, and then 5 more
--- a/tests/features/steps/channel_steps.py
+++ b/tests/features/steps/channel_steps.py
@@ -1,3 +1,6 @@
+import tracemalloc
+from contextlib import asynccontextmanager
+
 import anyio
 import msgspec
 from behave import given, then, when
@@ -5,6 +8,7 @@
 from front.fakes import LOAD, make_attempt_message
 from samphirespring.connection.attempt_channel import RUN_ATTEMPTS
 from samphirespring.connection.attempt_link import RUN_ATTEMPT
+from samphirespring.connection.channel_client import AttemptChannel
 from samphirespring.connection.channel_server import AttemptChannelServer
 from samphirespring.connection.link_errors import LinkUnavailableError
 from samphirespring.connection.link_pool import LinkPool
@@ -408,3 +412,52 @@
     assert isinstance(first, list) or not first.sent, first
     for frames in others:
         assert isinstance(frames, list) and isinstance(frames[-1], AttemptResult), frames
+
+
+class BlockedDuplex:
+    """Streams to an agent that reads nothing."""
+
+    async def send(self, message):
+        await anyio.sleep_forever()
+
+    async def iterate_replies(self):
+        await anyio.sleep_forever()
+        yield
+
+
+class BlockedLink:
+    @asynccontextmanager
+    async def open_duplex(self, method):
+        yield BlockedDuplex()
+
+    def check_acknowledgements(self):
+        return
+
+
+@given("an agent that reads nothing from its channel")
+def step_blocked_agent(context):
+    context.link = BlockedLink()
+
+
+@when("{count:d} attempts with bodies of {size:d} KiB are sent and left one after the other")
+def step_leave_unsent(context, count, size):
+    async def main():
+        channel = AttemptChannel(ADDRESS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(channel.run, context.link)
+            await anyio.wait_all_tasks_blocked()
+            tracemalloc.start()
+            for number in range(count):
+                request = make_request(f"a{number}", body=bytes(size << 10))
+                async with channel.open(request, EMPTY_BODY):
+                    await anyio.sleep(0)
+            context.grown_bytes = tracemalloc.get_traced_memory()[0]
+            tracemalloc.stop()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("the front's memory has grown by at most {size:d} MiB")
+def step_check_grown(context, size):
+    assert context.grown_bytes <= size << 20, context.grown_bytes
