--- a/src/samphirespring/process/document/confirmer.py
+++ b/src/samphirespring/process/document/confirmer.py
@@ -1,14 +1,14 @@
 """Confirms to nodes which version of the document is the newest, on the leading control host."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
 from samphirespring.connection.confirmation_link import ConfirmDocument, DocumentConfirmation
 from samphirespring.process.document.service import DocumentService
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.ids import ReplicaId
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
+from samphirespring.process.replication.leader_link import FindLink, find_leader_link
 from samphirespring.process.replication.state_machine import NotLeaderError
 from samphirespring.process.tasks import OwnerTask, StateDump
 from samphirespring.process.timers import TimerService
@@ -48,7 +48,7 @@
         self,
         *,
         documents: DocumentService,
-        find_link: Callable[[ReplicaId], Awaitable[str | None]],
+        find_link: FindLink,
         timers: TimerService,
     ) -> None:
         self.inbox: Mailbox[RequestConfirmation] = Mailbox(name=self.name, capacity=INBOX_CAPACITY)
@@ -87,7 +87,7 @@
         try:
             return await ask(self.inbox, lambda reply: RequestConfirmation(reply=reply))
         except NotLeaderError as error:
-            link = None if error.leader is None else await self._find_link(error.leader)
+            link = await find_leader_link(error, self._find_link)
             if link is None:
                 raise
             return DocumentConfirmation(leader_link=link)
--- a/src/samphirespring/process/quota/server.py
+++ b/src/samphirespring/process/quota/server.py
@@ -1,7 +1,7 @@
 """Grants credit to fronts on the control host that leads the document's group."""
 
 import math
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 import anyio
 import anyio.lowlevel
@@ -11,7 +11,7 @@
 from samphirespring.process.document.commands import DocumentCommand, DocumentResult
 from samphirespring.process.document.state_machine import DocumentStateMachine
 from samphirespring.process.errors import SamphireError
-from samphirespring.process.ids import ReplicaId, Term
+from samphirespring.process.ids import Term
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
@@ -20,6 +20,7 @@
 from samphirespring.process.quota.allocator import QuotaAllocator
 from samphirespring.process.quota.quota_reader import QuotaReader
 from samphirespring.process.replication.group_status import GroupOperations
+from samphirespring.process.replication.leader_link import FindLink, find_leader_link
 from samphirespring.process.replication.state_machine import NotLeaderError, Proposer
 from samphirespring.process.states import ReplicaRole
 from samphirespring.process.tasks import OwnerTask, StateDump
@@ -79,7 +80,7 @@
         state_machine: DocumentStateMachine,
         proposer: Proposer[DocumentCommand, DocumentResult],
         group: GroupOperations,
-        find_link: Callable[[ReplicaId], Awaitable[str | None]],
+        find_link: FindLink,
         timers: TimerService,
         metrics: Metrics,
     ) -> None:
@@ -205,7 +206,7 @@
 
     async def _redirect(self, messages: Sequence[ServeAsk], error: NotLeaderError) -> None:
         try:
-            link = None if error.leader is None else await self._find_link(error.leader)
+            link = await find_leader_link(error, self._find_link)
         except SamphireError:
             link = None
         if link is None:
--- a/src/samphirespring/process/registry_service.py
+++ b/src/samphirespring/process/registry_service.py
@@ -16,7 +16,7 @@
 from samphirespring.process.bounds import MAX_NAME_LENGTH
 from samphirespring.process.control_directory import compute_digest
 from samphirespring.process.errors import ErrorCode, SamphireError
-from samphirespring.process.ids import HostId, RegistryVersion, ReplicaId
+from samphirespring.process.ids import HostId, RegistryVersion
 from samphirespring.process.logs.event_log import EventLog
 from samphirespring.process.logs.log_events import LogEvent
 from samphirespring.process.mailbox import Mailbox, ReplySlot, ask
@@ -43,6 +43,7 @@
 from samphirespring.process.registry.state_machine import RegistryStateMachine
 from samphirespring.process.registry.table_distribution import TableDistribution
 from samphirespring.process.replication.errors import BusyError
+from samphirespring.process.replication.leader_link import FindLink, find_leader_link
 from samphirespring.process.replication.state_machine import NotLeaderError, Proposer
 from samphirespring.process.targets import NO_DELTA, HostRecord, RegistryDelta
 from samphirespring.process.tasks import OwnerTask, PagedDump
@@ -115,7 +116,7 @@
         metrics: Metrics,
         read_control_links: Callable[[], Awaitable[tuple[str, ...]]] | None = None,
         read_document: Callable[[], DocumentStamp] | None = None,
-        find_link: Callable[[ReplicaId], Awaitable[str | None]] | None = None,
+        find_link: FindLink | None = None,
     ) -> None:
         self._find_link = find_link
         self._read_document = read_document
@@ -257,7 +258,7 @@
         return DeparturesReply(departures=departures, drained=drained)
 
     async def _redirect_to_leader(self, error: NotLeaderError) -> DeparturesReply:
-        link = await self._find_leader_link(error)
+        link = await find_leader_link(error, self._find_link)
         if link is None:
             raise error
         return DeparturesReply(leader_link=link)
@@ -280,7 +281,7 @@
             message.reply.send(await self._process_reports(message.batch))
         except NotLeaderError as error:
             # The reporter may only have addresses of control hosts that aren't the leader.
-            link = await self._find_leader_link(error)
+            link = await find_leader_link(error, self._find_link)
             if link is None:
                 message.reply.fail(error)
             else:
@@ -288,11 +289,6 @@
         except SamphireError as error:
             message.reply.fail(error)
 
-    async def _find_leader_link(self, error: NotLeaderError) -> str | None:
-        if error.leader is None or self._find_link is None:
-            return None
-        return await self._find_link(error.leader)
-
     async def _process_reports(self, batch: ReportBatch) -> BatchReply:
         await self._confirm_leadership()
         now_s = self._timers.read_now_s()
