One message says what a request needs of a retry from the joint budget

RetrySource.acquire repeated the fields of RetryAsk in three signatures; RetryTerms holds them. What goes over links is unchanged. No change of behaviour; the test's stand-in takes the same message.

--- a/src/samphirespring/process/shedding/scheduled_retries.py
+++ b/src/samphirespring/process/shedding/scheduled_retries.py
@@ -17,9 +17,8 @@
     RecordPooledRetry,
     TrafficMessage,
 )
-from samphirespring.request.pooled_retries import RetryAsk, RetrySource
+from samphirespring.request.pooled_retries import RetryAsk, RetrySource, RetryTerms
 from samphirespring.version.document import ServicePolicy
-from samphirespring.version.ids import ServiceName
 
 REPLY_TIMEOUT_S = 0.25
 """Longest wait for the other host, in seconds; the front's own budget then decides. It is longer
@@ -52,37 +51,29 @@
         self._find_channel = find_channel
         self._host = host
 
-    async def acquire(
-        self,
-        service: ServiceName,
-        *,
-        policy: ServicePolicy,
-        rank: int,
-        max_wait_s: float,
-        has_waited: bool = False,
-    ) -> RetryGrant | None:
+    async def acquire(self, terms: RetryTerms, *, policy: ServicePolicy) -> RetryGrant | None:
         """Return the decision of the pool, or None without one in time."""
         peer: Peer | None = await ask(
-            self._table, lambda reply: FindScheduler(service=service, reply=reply)
+            self._table, lambda reply: FindScheduler(service=terms.service, reply=reply)
         )
         if peer is None:
             return None
         account: FrontAccount = await ask(
             self._traffic_limiter,
             lambda reply: ReadFrontAccount(
-                service=service, policy=policy, host=self._host, reply=reply
+                service=terms.service, policy=policy, host=self._host, reply=reply
             ),
         )
         wanted = RetryAsk(
-            service=service,
+            service=terms.service,
             account=account,
-            rank=rank,
-            max_wait_s=max_wait_s,
-            has_waited=has_waited,
+            rank=terms.rank,
+            max_wait_s=terms.max_wait_s,
+            has_waited=terms.has_waited,
         )
         grant = await self._ask(peer, wanted)
         if grant is not None and grant.decision is GrantDecision.GRANTED:
-            self._traffic_limiter.post_always(RecordPooledRetry(service=service))
+            self._traffic_limiter.post_always(RecordPooledRetry(service=terms.service))
         return grant
 
     async def _ask(self, peer: Peer, wanted: RetryAsk) -> RetryGrant | None:
--- a/src/samphirespring/request/exchange.py
+++ b/src/samphirespring/request/exchange.py
@@ -35,6 +35,7 @@
     AttemptResult,
     ResponseEnd,
 )
+from samphirespring.request.pooled_retries import RetryTerms
 from samphirespring.request.retry import RetryDecision, RetryPlanner, RetryStep, compute_max_wait_s
 from samphirespring.request.selection import Candidate, ExpectedTime
 from samphirespring.request.states import FailureKind, Outcome, RefusalCode
@@ -281,13 +282,13 @@
 
     async def _ask_pool(self, *, has_waited: bool) -> RetryGrant | None:
         reserve_ms = self._policy.retry.execution_reserve_ms
-        return await self._context.retries.acquire(
-            self._policy.service,
-            policy=self._route.service,
+        terms = RetryTerms(
+            service=self._policy.service,
             rank=self._policy.rank,
             max_wait_s=compute_max_wait_s(self._compute_remaining_ms(), reserve_ms=reserve_ms),
             has_waited=has_waited,
         )
+        return await self._context.retries.acquire(terms, policy=self._route.service)
 
     async def _acquire_retry(self, kind: RetryKind) -> bool:
         granted: bool = await ask(
--- a/tests/features/steps/shedding_steps.py
+++ b/tests/features/steps/shedding_steps.py
@@ -335,7 +335,7 @@
     def __init__(self, answers):
         self.answers = [answer.split() for answer in answers.split(", ")]
 
-    async def acquire(self, service, *, policy, rank, max_wait_s, has_waited=False):
+    async def acquire(self, terms, *, policy):
         word, *wait_s = self.answers.pop(0)
         if word == "none":
             return None
