--- a/tests/features/control_discovery.feature
+++ b/tests/features/control_discovery.feature
@@ -196,7 +196,7 @@
 
   Scenario: Votes don't move once each successor has one
     Given a group of 5 voters discovered from 3 seeds, and 5 learners
-    When 20 s pass
+    When the group runs on for 20 s with the same hosts
     Then the successors are the voters, and the membership hasn't changed in that time
 
   # Guards against a host whose two latest members replace each other over and over, because the
--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -755,8 +755,8 @@
     return False
 
 
-@when("{duration_s:g} s pass")
-def step_pass(context, duration_s):
+@when("the group runs on for {duration_s:g} s with the same hosts")
+def step_run_on(context, duration_s):
     simulation = context.simulation
     context.end_before = commit_command(simulation)
     simulation.run(duration_s)
