Tests of control_discovery share how a command is committed and which voters run

The scenarios on removed hosts repeated both loops beside lose_disks and the step on running voters; commit_command and count_running_voters serve all of them. abandoning_front loses an attribute that nobody read.

--- a/tests/features/steps/control_discovery_steps.py
+++ b/tests/features/steps/control_discovery_steps.py
@@ -256,23 +256,22 @@
 def step_check_running(context, limit, count):
     simulation = context.simulation
 
-    def has_running_voters():
-        membership = find_membership(simulation)
-        if membership is None:
-            return False
-        running = {h.last_identity for h in simulation.hosts if h.is_up}
-        return len(running & set(membership.voters)) == count
+    simulation.run_until(lambda: count_running_voters(simulation) == count, limit_s=limit)
 
-    simulation.run_until(has_running_voters, limit_s=limit)
+
+def count_running_voters(simulation):
+    """Return how many voters run; 0 without a leader that has a lease."""
+    membership = find_membership(simulation)
+    if membership is None:
+        return 0
+    running = {h.last_identity for h in simulation.hosts if h.is_up}
+    return len(running & set(membership.voters))
 
 
 def lose_disks(context, numbers):
     """Commit a command, and let voters lose their disks right after it and start again."""
     simulation = context.simulation
-    before = simulation.checks.committed_end
-    simulation.propose(1)
-    simulation.run_until(lambda: simulation.checks.committed_end > before, limit_s=5.0)
-    context.committed_index = simulation.checks.committed_end
+    context.committed_index = commit_command(simulation)
     for number in numbers:
         host = simulation.hosts[number]
         host.lose_disk()
@@ -746,9 +745,7 @@
     simulation = fleet.simulation
     end_at_s = simulation.now_s + limit_s
     while simulation.now_s < end_at_s:
-        membership = find_membership(simulation)
-        running = {h.last_identity for h in simulation.hosts if h.is_up}
-        if membership is not None and len(running & set(membership.voters)) == count:
+        if count_running_voters(simulation) == count:
             holder = simulation.find_lease_holder()
             return holder.member.replica.commit_index >= fleet.committed_index
         simulation.run(0.1)
--- a/tests/front/abandoning_front.py
+++ b/tests/front/abandoning_front.py
@@ -63,8 +63,7 @@
             own_address=ADDRESS if self.is_local else "", starter=self.runner, remote=self.channels
         )
         tasks = (agent, guard, self.runner, self.channels)
-        async with self.backend.serve(), run_tasks(tasks) as group:
-            self.group = group
+        async with self.backend.serve(), run_tasks(tasks):
             await anyio.wait_all_tasks_blocked()
             announcement = Announcement(service="s", address=self.backend.address, slots=SLOTS)
             await ask(
