Reject a configuration whose split names an unknown service without weight

Operators' rule CONFIG: a configuration in which a route names an unknown service is invalid, and must get a 4xx.

Cause: translation drops parts without weight, as the document holds positive weights only, and the check for unknown services comes after it, in the document's state machine. Class: a check behind a lossy translation. Translation now compares all names of the routes with the services before it drops anything.

--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -1,6 +1,7 @@
 """Translates the operator's configuration into sections of the document."""
 
 import math
+from collections.abc import Iterator
 from enum import Enum
 from typing import Annotated, Any
 
@@ -187,13 +188,16 @@
     configuration: _Configuration, defaults: DeploymentDefaults
 ) -> dict[SectionName, bytes]:
     routes: list[RoutePolicy] = []
+    named_services: set[ServiceName] = set()
     services: dict[ServiceName, ServicePolicy] = {}
     workspaces: dict[WorkspaceId, WorkspacePolicy] = {}
     connections = CallerConnectionPolicy()
     for resource in configuration.resources:
         match resource.type:
             case "routes":
-                routes.append(_make_route(msgspec.json.decode(resource.spec, type=_RouteSpec)))
+                route = msgspec.json.decode(resource.spec, type=_RouteSpec)
+                routes.append(_make_route(route))
+                named_services.update(_list_services(route))
             case "services":
                 msgspec.json.decode(resource.spec, type=_ServiceSpec)
                 services[ServiceName(resource.metadata.name)] = _make_service(defaults)
@@ -209,6 +213,9 @@
                 )
             case _:
                 raise ValueError(f"unknown resource type `{resource.type}`")
+    unknown = sorted(named_services - services.keys())
+    if unknown:
+        raise ValueError(f"a route names the unknown service `{unknown[0]}`")
     placements = choose_placements(routes)
     services = {
         service: msgspec.structs.replace(
@@ -252,6 +259,14 @@
     return RateLimit(requests_per_s=spec.rate_per_s, burst=max(1, math.floor(spec.burst)))
 
 
+def _list_services(spec: _RouteSpec) -> Iterator[ServiceName]:
+    """Yield all services that a route names, also those that get none of its requests."""
+    if spec.service is not None:
+        yield spec.service
+    for entry in spec.traffic_split:
+        yield entry.service
+
+
 def _make_route(spec: _RouteSpec) -> RoutePolicy:
     idempotent = spec.kind is _RouteKind.SAFE
     split = {entry.service: entry.weight for entry in spec.traffic_split if entry.weight > 0}
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -139,6 +139,7 @@
       | fault                                |
       | a route names an unknown service     |
       | a split names an unknown service     |
+      | an unknown service has no weight     |
       | a timeout is 0                       |
       | a timeout is over ten minutes        |
       | an aim is a minute above the timeout |
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -272,6 +272,8 @@
             route["service"] = "nobody"
         case "a split names an unknown service":
             split["traffic-split"][1]["service"] = "nobody"
+        case "an unknown service has no weight":
+            split["traffic-split"].append({"service": "nobody", "weight": 0})
         case "a timeout is 0":
             route["timeout"] = "0ms"
         case "a timeout is over ten minutes":
