Compare the times of a configuration before they are rounded

Operators' rule CONFIG: a timeout of over ten minutes is invalid.

Cause: durations were rounded to whole milliseconds before they were compared with the limits. Class: a check behind a lossy translation, like that of unknown services without weight. They are read exactly now; the timeout is rounded up and the aim down, so that the document's own limits decide the same.

Evidence: feature platform, "a timeout is just over ten minutes" and three rows of "A configuration at the limits of its times is accepted" failed before; all 98 scenarios hold now.

--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from samphirespring.platform.headers import API_KEY, TENANT
-from samphirespring.platform.units import parse_ms
+from samphirespring.platform.units import parse_exact_ms, parse_ms
 from samphirespring.process.errors import DECODE_ERRORS
 from samphirespring.version.document import (
+    AIM_MARGIN_MS,
     FLEET_SECTION,
     CallerConnectionPolicy,
     DetectionPolicy,
@@ -275,7 +276,12 @@
         service = next(iter(split), None)
     if service is None:
         raise ValueError("a route names no service")
-    timeout_ms = parse_ms(spec.timeout)
+    exact_timeout_ms = parse_exact_ms(spec.timeout)
+    exact_aim_ms = parse_exact_ms(spec.aim)
+    if exact_aim_ms - exact_timeout_ms >= AIM_MARGIN_MS:
+        raise ValueError(f"the aim {spec.aim} is a minute or more above {spec.timeout}")
+    # Rounded so that both stay on their side of the document's limits.
+    timeout_ms = math.ceil(exact_timeout_ms)
     return RoutePolicy(
         host=spec.host,
         path_prefix=spec.path_prefix,
@@ -285,7 +291,7 @@
         priority=PriorityClass.INTERACTIVE if idempotent else PriorityClass.ACTION,
         rank=spec.priority,
         key_exempt=spec.auth_exempt,
-        aim_ms=parse_ms(spec.aim),
+        aim_ms=math.floor(exact_aim_ms),
         deadline_ms=timeout_ms,
         retry=RetryPolicy(max_attempts=spec.max_attempts, capacity_wait_ms=timeout_ms),
     )
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -142,6 +142,7 @@
       | an unknown service has no weight     |
       | a timeout is 0                       |
       | a timeout is over ten minutes        |
+      | a timeout is just over ten minutes   |
       | an aim is a minute above the timeout |
       | a route has no attempts              |
       | the version is not above 5           |
@@ -154,6 +155,18 @@
       | a tenant's key is empty              |
       | a tenant's name contains a line      |
 
+  Scenario Outline: A configuration at the limits of its times is accepted
+    Given a document state machine with revision 5
+    When a configuration based on 5 is submitted with the timeout <timeout> and the aim <aim>
+    Then the response is 200 and revision 6 is read back unchanged
+
+    Examples:
+      | timeout    | aim       |
+      | 600000ms   | 1s        |
+      | 0.4ms      | 0ms       |
+      | 3000.4ms   | 63000.3ms |
+      | 2.9999996s | 62.9999s  |
+
   Scenario Outline: What a route's kind allows to be repeated
     When a configuration with a route of kind "<kind>" is translated
     Then requests of the route <may> run more than once
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -278,6 +278,8 @@
             route["timeout"] = "0ms"
         case "a timeout is over ten minutes":
             route["timeout"] = "601s"
+        case "a timeout is just over ten minutes":
+            route["timeout"] = "600000.4ms"
         case "an aim is a minute above the timeout":
             route["aim"] = "63000ms"
         case "a route has no attempts":
@@ -520,6 +522,13 @@
     submit(context, make_invalid_configuration(fault), base)
 
 
+@when("a configuration based on {base:d} is submitted with the timeout {timeout} and the aim {aim}")
+def step_submit_times(context, base, timeout, aim):
+    configuration = make_configuration(base + 1)
+    configuration["resources"][0]["spec"] |= {"timeout": timeout, "aim": aim}
+    submit(context, json.dumps(configuration).encode(), base)
+
+
 @when("revision {version:d} based on {base:d} is submitted")
 def step_submit(context, version, base):
     submit(context, json.dumps(make_configuration(version)).encode(), base)
