Add up the weights of a service that a split names twice

Cause: the parts became a map by service, in which a later entry replaces an earlier one. They are added up now.

Evidence: feature platform, "A service that a split names twice gets the sum of its weights" failed before (30 of 90 requests in place of 40 of 100); all 99 scenarios hold now.

--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -1,7 +1,7 @@
 """Translates the operator's configuration into sections of the document."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import Enum
 from typing import Annotated, Any
 
@@ -270,7 +270,7 @@
 
 def _make_route(spec: _RouteSpec) -> RoutePolicy:
     idempotent = spec.kind is _RouteKind.SAFE
-    split = {entry.service: entry.weight for entry in spec.traffic_split if entry.weight > 0}
+    split = _add_weights(spec.traffic_split)
     service = spec.service
     if service is None:
         service = next(iter(split), None)
@@ -297,6 +297,15 @@
     )
 
 
+def _add_weights(parts: Iterable[_WeightedService]) -> dict[ServiceName, int]:
+    """Return the weight of each service that has one; one that is named twice has the sum."""
+    weights: dict[ServiceName, int] = {}
+    for part in parts:
+        if part.weight > 0:
+            weights[part.service] = weights.get(part.service, 0) + part.weight
+    return weights
+
+
 def _make_service(defaults: DeploymentDefaults) -> ServicePolicy:
     return ServicePolicy(
         floor=defaults.floor,
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -167,6 +167,10 @@
       | 3000.4ms   | 63000.3ms |
       | 2.9999996s | 62.9999s  |
 
+  Scenario: A service that a split names twice gets the sum of its weights
+    When a configuration is translated whose split gives "orders" the weights 10 and 30 and "recipes" 60
+    Then the route sends 40 of 100 requests to "orders" and 60 to "recipes"
+
   Scenario Outline: What a route's kind allows to be repeated
     When a configuration with a route of kind "<kind>" is translated
     Then requests of the route <may> run more than once
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,5 +1,6 @@
 import json
 import re
+from collections import Counter
 from pathlib import Path
 
 import anyio
@@ -322,6 +323,28 @@
     assert context.section.routes[0].idempotent is (may == "may")
 
 
+@when(
+    'a configuration is translated whose split gives "{twice}" the weights {first:d} and {second:d}'
+    ' and "{once}" {third:d}'
+)
+def step_translate_split(context, twice, first, second, once, third):
+    configuration = make_configuration(6)
+    configuration["resources"][1]["spec"]["traffic-split"] = [
+        {"service": twice, "weight": first},
+        {"service": once, "weight": third},
+        {"service": twice, "weight": second},
+    ]
+    translate(context, configuration)
+
+
+@then('the route sends {first:d} of 100 requests to "{one}" and {second:d} to "{other}"')
+def step_check_split(context, first, one, second, other):
+    route = context.compiled.find_route(host="a.example", method="GET", path="/split/1")
+    parts = [route.choose_part((drawn + 0.5) / 100) for drawn in range(100)]
+    counts = Counter(part.policy.service for part in parts)
+    assert counts == {one: first, other: second}, counts
+
+
 @when("a configuration with a tenant of rate {rate} and burst {burst} is translated")
 def step_translate_quota(context, rate, burst):
     sent = {"rate-per-s": rate, "burst": burst}
