Divide the routes and tenants of a configuration among sections

What operators see: a configuration that has grown by a few thousand routes is refused as invalid, and with it every later one; a change of one of 1,040 added routes sends all of them to every node, which compiles all.

Cause: all routes were one section of the document, and all tenants another. Class: one unit of change for something that grows. The same held for tenants (about 15,600 keys), as docs/CAPACITY.md said. Both are divided now, by a hash of their names, into sections of about 400 entries.

Evidence: feature platform, "A configuration that has grown by thousands of entries is accepted and in force" failed before with 6,000 routes (400, over 1048576 bytes) and with 12,000 tenants, and holds now.

Two steps of feature platform read the translated sections by their old names; they read the compiled document in their place, and check the same.

--- a/src/samphirespring/platform/configuration.py
+++ b/src/samphirespring/platform/configuration.py
@@ -1,11 +1,13 @@
 """Translates the operator's configuration into sections of the document."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from enum import Enum
 from typing import Annotated, Any
 
 import msgspec
+import xxhash
 
 from samphirespring.platform.headers import API_KEY, TENANT
 from samphirespring.platform.units import parse_exact_ms, parse_ms
@@ -37,11 +39,17 @@
 )
 
 OPERATOR_SECTION = SectionName("operator")
-"""Section that holds the operator's routes and services."""
+"""Section that holds the operator's services."""
 
+ROUTE_SECTION = "routes"
+"""Sections that hold the operator's routes; a number follows."""
 
-WORKSPACE_SECTION = SectionName("workspaces")
-"""Section that holds the operator's tenants, apart from the routes: keys change more often."""
+WORKSPACE_SECTION = "workspaces"
+"""Sections that hold the operator's tenants; a number follows."""
+
+ENTRIES_PER_SECTION = 400
+"""Routes or tenants of a section, about. A change of one of them sends and compiles its section
+anew, and a section has a largest size."""
 
 MAX_QUOTA_NUMBER = 1e12
 """Largest rate per second, and largest burst, of a tenant's quota."""
@@ -225,12 +233,50 @@
         for service, policy in services.items()
     }
     fleet = FleetSection(caller_connections=connections, ledger_groups=0)
-    team = TeamSection(services=services, routes=tuple(routes))
-    sections = {FLEET_SECTION: _encode(fleet), OPERATOR_SECTION: _encode(team)}
     if workspaces:
-        sections[FLEET_SECTION] = _encode(_require_keys(fleet, defaults))
-        sections[WORKSPACE_SECTION] = _encode(TeamSection(workspaces=workspaces))
-    return sections
+        fleet = _require_keys(fleet, defaults)
+    sections = {
+        FLEET_SECTION: fleet,
+        OPERATOR_SECTION: TeamSection(services=services),
+        **_divide_routes(routes),
+        **_divide_workspaces(workspaces),
+    }
+    return {name: _encode(section) for name, section in sections.items()}
+
+
+def _divide_routes(routes: Sequence[RoutePolicy]) -> dict[SectionName, TeamSection]:
+    """Return sections of routes; a route stays in its section whatever becomes of the others."""
+    parts: defaultdict[int, list[RoutePolicy]] = defaultdict(list)
+    count = _count_sections(len(routes))
+    for route in routes:
+        parts[_choose_section(f"{route.host.lower()}{route.path_prefix}", count)].append(route)
+    return {
+        SectionName(f"{ROUTE_SECTION}-{number}"): TeamSection(routes=tuple(part))
+        for number, part in sorted(parts.items())
+    }
+
+
+def _divide_workspaces(
+    workspaces: Mapping[WorkspaceId, WorkspacePolicy],
+) -> dict[SectionName, TeamSection]:
+    """Return sections of workspaces, chosen like those of routes."""
+    parts: defaultdict[int, dict[WorkspaceId, WorkspacePolicy]] = defaultdict(dict)
+    count = _count_sections(len(workspaces))
+    for workspace, policy in workspaces.items():
+        parts[_choose_section(workspace, count)][workspace] = policy
+    return {
+        SectionName(f"{WORKSPACE_SECTION}-{number}"): TeamSection(workspaces=part)
+        for number, part in sorted(parts.items())
+    }
+
+
+def _count_sections(entries: int) -> int:
+    """Return the number of sections, a power of two: few changes alter it."""
+    return 1 << (max(0, entries - 1) // ENTRIES_PER_SECTION).bit_length()
+
+
+def _choose_section(name: str, count: int) -> int:
+    return xxhash.xxh64_intdigest(name.encode()) % count
 
 
 def _require_keys(fleet: FleetSection, defaults: DeploymentDefaults) -> FleetSection:
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -171,6 +171,21 @@
     When a configuration is translated whose split gives "orders" the weights 10 and 30 and "recipes" 60
     Then the route sends 40 of 100 requests to "orders" and 60 to "recipes"
 
+  Scenario Outline: A configuration that has grown by thousands of entries is accepted and in force
+    Given a document state machine with revision 5
+    When a configuration based on 5 is submitted with <routes> more routes and <tenants> tenants
+    Then the response is 200 and revision 6 is read back unchanged
+    And all of its routes and keys are in force
+    When a configuration based on 6 is submitted that moves one of these routes
+    Then the response is 200 and revision 7 is read back unchanged
+    And nodes get fewer than <bytes> bytes for it
+
+    Examples:
+      | routes | tenants | bytes |
+      | 1040   | 10      | 15000 |
+      | 6000   | 10      | 15000 |
+      | 10     | 12000   | 15000 |
+
   Scenario Outline: What a route's kind allows to be repeated
     When a configuration with a route of kind "<kind>" is translated
     Then requests of the route <may> run more than once
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -16,7 +16,6 @@
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
 from samphirespring.platform.configuration import (
     OPERATOR_SECTION,
-    WORKSPACE_SECTION,
     DeploymentDefaults,
     translate_configuration,
 )
@@ -43,8 +42,9 @@
 from samphirespring.request.errors import ApiKeyUnknownError, DeadlineExpiredError, RefusedError
 from samphirespring.request.messages import Header, ResponseHead
 from samphirespring.request.states import Outcome
-from samphirespring.version.compilation import compile_document
-from samphirespring.version.document import FleetSection, TeamSection
+from samphirespring.version.compilation import compile_document, compile_sections
+from samphirespring.version.document import FleetSection
+from samphirespring.version.key_table import compute_digest, shorten_digest
 from samphirespring.version.parser import build_document_steps
 from samphirespring.version.states import PriorityClass
 
@@ -312,15 +312,13 @@
 def step_translate_kind(context, kind):
     configuration = make_configuration(6)
     configuration["resources"][0]["spec"]["kind"] = kind
-    submission = translate_configuration(
-        json.dumps(configuration).encode(), defaults=SERVICE_DEFAULTS
-    )
-    context.section = msgspec.json.decode(submission.sections[OPERATOR_SECTION], type=TeamSection)
+    translate(context, configuration, SERVICE_DEFAULTS)
 
 
 @then("requests of the route {may} run more than once")
 def step_check_repeats(context, may):
-    assert context.section.routes[0].idempotent is (may == "may")
+    route = context.compiled.find_route(host="a.example", method="GET", path="/read/1")
+    assert route.policy.idempotent is (may == "may")
 
 
 @when(
@@ -356,7 +354,7 @@
 
 @then("the tenant's quota is {quota}")
 def step_check_quota(context, quota):
-    found = context.document.teams[WORKSPACE_SECTION].workspaces["a"].quota
+    (found,) = (t.workspaces["a"].quota for t in context.document.teams.values() if t.workspaces)
     text = "none" if found is None else f"{found.requests_per_s}/s with burst {found.burst}"
     assert text == quota, text
 
@@ -552,6 +550,58 @@
     submit(context, json.dumps(configuration).encode(), base)
 
 
+@when(
+    "a configuration based on {base:d} is submitted with {routes:d} more routes and {tenants:d}"
+    " tenants"
+)
+def step_submit_grown(context, base, routes, tenants):
+    context.configuration = make_configuration(base + 1)
+    spec = context.configuration["resources"][0]["spec"]
+    for number in range(routes):
+        moved = {"host": f"{number % 6}.example", "path-prefix": f"/added/{number:032x}/"}
+        route = {"type": "routes", "metadata": {"name": f"a{number}"}, "spec": spec | moved}
+        context.configuration["resources"].append(route)
+    added = (make_tenant(f"t{number}", keys=[f"key-{number}"]) for number in range(tenants))
+    add_tenants(context.configuration, *added)
+    submit(context, json.dumps(context.configuration).encode(), base)
+
+
+@when("a configuration based on {base:d} is submitted that moves one of these routes")
+def step_submit_moved(context, base):
+    context.sections_before = context.document_machine.sections
+    context.configuration["version"] = base + 1
+    context.configuration["resources"][-1 - len(list_tenants(context))]["spec"]["timeout"] = "4s"
+    submit(context, json.dumps(context.configuration).encode(), base)
+
+
+def list_tenants(context):
+    resources = context.configuration["resources"]
+    return [resource for resource in resources if resource["type"] == "tenants"]
+
+
+@then("all of its routes and keys are in force")
+def step_check_grown(context):
+    compiled = compile_sections(context.document_machine.sections)
+    for resource in context.configuration["resources"]:
+        if resource["type"] == "routes":
+            spec = resource["spec"]
+            path = f"{spec['path-prefix']}1"
+            route = compiled.find_route(host=spec["host"], method="GET", path=path)
+            assert route.policy.path_prefix == spec["path-prefix"], spec
+    for tenant in list_tenants(context):
+        key = tenant["spec"]["api-keys"][0].encode()
+        holder = compiled.find_key_holder(shorten_digest(compute_digest(key)))
+        assert holder == tenant["metadata"]["name"], tenant
+
+
+@then("nodes get fewer than {limit:d} bytes for it")
+def step_check_delta(context, limit):
+    delta = context.document_machine.sections.make_delta(context.sections_before.stamp)
+    size = sum(len(section.data) for section in delta.sections)
+    assert 0 < size < limit, size
+    assert len(delta.sections) == 1, [section.name for section in delta.sections]
+
+
 @when("revision {version:d} based on {base:d} is submitted")
 def step_submit(context, version, base):
     submit(context, json.dumps(make_configuration(version)).encode(), base)
