Crowds of clients at every port, at all fronts at once, and in chunks of one byte

The crowd feature held on the code as it stands, so it is widened before the product changes: each HTTP and link port of a node and of a control host, all three fronts of the example at once, bodies in chunks of one byte, and a control host of the platform, whose operator API takes configurations from anyone. The crowd of the earlier scenarios and its bounds are unchanged; the control host's bound is the memory of its machine, 296 MB.

--- a/tests/features/steps/client_crowds_steps.py
+++ b/tests/features/steps/client_crowds_steps.py
@@ -8,15 +8,18 @@
 from behave import given, then, when
 
 from fleet.client import send_request
-from fleet.crowd import CROWDS, ORDERS, RECIPES, open_crowd
+from fleet.crowd import CROWDS, ORDERS, RECIPES, make_configurations, open_crowd
 from fleet.example import place_example, read_address
-from fleet.processes import run_fleet
+from fleet.platform_control import run_platform_control
+from fleet.processes import read_dump, run_fleet
 
 MIB = 1 << 20
 MAX_BODY_BYTES = 32 * MIB
 ORDINARY_TRIES = 20
 RETRY_DELAY_S = 0.5
 WARM_UP_READS = 20
+NODES = ("node-alta-1", "node-mani-1", "node-sask-1")
+MB = 1_000_000
 PORT_OFFSET = int(os.environ.get("SAMPHIRE_PORT_OFFSET", "0"))
 
 
@@ -42,14 +45,18 @@
         return [name for name in self.fleet.processes if not name.startswith("backends-")]
 
     def read_peak_bytes(self, name):
-        status = Path(f"/proc/{self.fleet.processes[name].pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
-        return int(line.split()[1]) * 1_024
+        return read_peak_bytes(self.fleet.processes[name].pid)
 
     def count(self, name):
         return len(os.listdir(f"/proc/{self.fleet.processes[name].pid}/fd"))
 
 
+def read_peak_bytes(pid):
+    status = Path(f"/proc/{pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1_024
+
+
 @given(
     "a running Wheatsheaf fleet whose nodes may hold {mib:d} MiB and {connections:d} connections"
     " for callers"
@@ -60,7 +67,9 @@
     folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="wheatsheaf-"))
     limits = {"body_bytes": MAX_BODY_BYTES, "held_bytes": mib * MIB, "connections": connections}
     node = {"limits": limits}
-    overrides = {f"node-{name}.json": node for name in ("alta-1", "mani-1", "sask-1")}
+    overrides = {f"{name}.json": dict(node) for name in NODES}
+    overrides["node-alta-1.json"]["metrics_listen"] = f"127.0.0.1:{21_804 + PORT_OFFSET}"
+    overrides["control-1.json"] = {"metrics_listen": f"127.0.0.1:{21_805 + PORT_OFFSET}"}
     example = place_example(
         "wheatsheaf", Path(folder), port_offset=PORT_OFFSET, overrides=overrides
     )
@@ -75,8 +84,41 @@
 
 @when('a crowd sends {name} to node "node-alta-1"')
 def step_send(context, name):
+    send_crowd(context, name, context.callers)
+
+
+@when("a crowd sends {name} to every node")
+def step_send_everywhere(context, name):
+    for node in NODES:
+        send_crowd(context, name, find_port(context, node, "caller_listen"))
+
+
+@when("a crowd sends {name} to {port} of {process}")
+def step_send_to_port(context, name, port, process):
+    send_crowd(context, name, find_port(context, process, port))
+
+
+def send_crowd(context, name, address):
     scripts = CROWDS[name]()
-    context.crowd.enter_context(open_crowd(context.callers, scripts, observe=context.usage.observe))
+    context.crowd.enter_context(open_crowd(address, scripts, observe=context.usage.observe))
+
+
+def find_port(context, process, port):
+    return read_address(context.fleet.example.folder / f"{process}.json", port)
+
+
+@then("{process} serves its own clients")
+def step_check_own_clients(context, process):
+    port = "operator_listen" if process.startswith("control-") else "local_listen"
+    address = find_port(context, process, port)
+    for attempt in range(ORDINARY_TRIES):
+        try:
+            assert read_dump(address)
+            return
+        except OSError:
+            if attempt == ORDINARY_TRIES - 1:
+                raise
+        time.sleep(RETRY_DELAY_S)
 
 
 @when("the crowd closes its connections")
@@ -132,3 +174,44 @@
 def step_check_body(context):
     assert context.response.status == 200, context.response
     assert context.response.json["body_bytes"] == context.sent_bytes
+
+
+@given("a running control host of the platform")
+def step_run_platform_control(context):
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="control-")))
+    context.control = stack.enter_context(run_platform_control(folder, port_offset=PORT_OFFSET))
+    context.crowd = stack.enter_context(ExitStack())
+    submit_until_accepted(context)
+
+
+@when("a crowd sends it {count:d} configurations of {size_mb:d} MB each, {form}")
+def step_send_configurations(context, count, size_mb, form):
+    scripts = make_configurations(form, count=count, size_bytes=size_mb * MB)
+    context.crowd.enter_context(open_crowd(context.control.address, scripts, observe=lambda: None))
+
+
+@then("a configuration is accepted while the crowd's connections are open")
+@then("a configuration is accepted")
+def step_submit_small(context):
+    submit_until_accepted(context)
+
+
+def submit_until_accepted(context):
+    for _ in range(ORDINARY_TRIES):
+        response = context.control.submit_small()
+        if response.status == 200:
+            return
+        assert response.status in (429, 503), response
+        time.sleep(RETRY_DELAY_S)
+    raise AssertionError(f"no answer after {ORDINARY_TRIES} tries: {response}")
+
+
+@then("the control host lives within {limit_mb:d} MB")
+def step_check_control(context, limit_mb):
+    process = context.control.process
+    assert process.poll() is None, process.returncode
+    peak_mb = read_peak_bytes(process.pid) / MB
+    print(f"the control host: {peak_mb:.0f} MB")
+    assert peak_mb <= limit_mb, peak_mb
--- a/tests/fleet/crowd.py
+++ b/tests/fleet/crowd.py
@@ -25,6 +25,7 @@
 PIECE_BYTES = 30_000
 LARGE_CHUNK_BYTES = 60_000
 SMALL_CHUNK_BYTES = 16
+ONE_BYTE_CHUNKS = 200_000
 COMPLETE_EVERY = 10
 """One body in so many is sent to its end; the others stop one byte before it."""
 
@@ -184,6 +185,31 @@
     return [_make_upload(number, CHUNKED, body) for number in range(BODY_CONNECTIONS)]
 
 
+def make_one_byte_chunks() -> list[Script]:
+    """Return connections with a body in chunks of one byte."""
+    body = _make_chunks(ONE_BYTE_CHUNKS, chunk_bytes=1)
+    return [_make_upload(number, CHUNKED, body) for number in range(BODY_CONNECTIONS)]
+
+
+def make_configurations(form: str, *, count: int, size_bytes: int) -> list[Script]:
+    """Return connections that send a control host of the platform configurations of a size.
+
+    Args:
+        form: `whole`, `piece by piece` or `in large chunks`.
+        count: Number of connections.
+        size_bytes: Size of each configuration, in bytes.
+    """
+    text = b'{"version": 1, "resources": [%b]}' % (b" " * size_bytes)
+    framing = _frame_length(len(text))
+    if form == "in large chunks":
+        text = _make_chunks(size_bytes, chunk_bytes=LARGE_CHUNK_BYTES)
+        framing = CHUNKED
+    head = b"POST /api/config/replace HTTP/1.1\r\nHost: control\r\nX-Base-Version: 0\r\n"
+    data = b"%b%b\r\n\r\n%b" % (head, framing, text[:-1])
+    piece_bytes = PIECE_BYTES if form == "piece by piece" else len(data)
+    return [Script(data=data, piece_bytes=piece_bytes)] * count
+
+
 def make_all() -> list[Script]:
     """Return all kinds of connections together."""
     return [
@@ -201,6 +227,7 @@
     "large bodies sent piece by piece": make_bodies_in_pieces,
     "bodies in large chunks": make_large_chunks,
     "bodies in very small chunks": make_small_chunks,
+    "bodies in chunks of one byte": make_one_byte_chunks,
     "all of these together": make_all,
 }
 
