Let a stopping node admit attempts for as long as it accepts callers

A target runs on beside its node's restart and can't fail meanwhile, so that it counts as sound while others with failures don't. The last attempt began 1.7 to 2.4 s after the SIGTERM, the process ended after 3.1 to 5.9 s and was back 1.2 to 1.4 s later; the time without a request was 2.4 to 4.5 s.

Cause: the agent stopped admitting what wouldn't end, as a rule, by the time at which its front stops accepting callers (2.6 s). But the process waits for those callers' requests, which take as long, in any case. Class: an early end that gains nothing. It admits until then now; the limit before the end of the process stays.

The rule isn't shown to hold by this; a node that starts faster would take the rest.

--- a/src/samphirespring/process/agent/agent_messages.py
+++ b/src/samphirespring/process/agent/agent_messages.py
@@ -165,10 +165,11 @@
 class DrainHost(msgspec.Struct, frozen=True, kw_only=True):
     """Makes the agent refuse new attempts, because the process stops.
 
-    Until the front has served its callers, attempts are admitted that end before that as a rule.
+    As long as the front accepts callers, whose requests the process waits for, attempts are
+    admitted that end in time as a rule: they hardly prolong the stop.
 
     Attributes:
-        callers_end_at_s: Earliest end of the front's requests, in seconds of monotonic time.
+        callers_end_at_s: Until when the front accepts callers, in seconds of monotonic time.
         ends_at_s: End of the process, in seconds of monotonic time.
     """
 
@@ -184,10 +185,10 @@
         """
         if reference is None:
             return False
-        prolongs_stop = now_s + reference.read_p75_s() > self.callers_end_at_s
+        accepts_callers = now_s <= self.callers_end_at_s
         longest_s = LONGEST_FACTOR * reference.read_p97_s()
         may_be_cut_off = now_s + longest_s > self.ends_at_s
-        return not prolongs_stop and not may_be_cut_off
+        return accepts_callers and not may_be_cut_off
 
 
 class SetDrain(msgspec.Struct, frozen=True, kw_only=True):
