Translate one configuration in an iteration of the event loop

What operators would see: 40 complete configurations of 4.5 MB that come at once hold up a control host for some ten seconds: all are translated in one iteration of its event loop, so that none is answered within 15 s and a leader loses its lease meanwhile.

Cause: translation is one step, and each request's task takes it as soon as its body is there. Class: work bounded in bytes where it costs by the item, as in the parsing of chunks. One configuration is translated at a time, and other tasks run in between.

Evidence: feature platform, "Other tasks run between configurations that come at once": all eight were translated in one iteration before, none in the same one now.

--- a/src/samphirespring/platform/operator_http.py
+++ b/src/samphirespring/platform/operator_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+import anyio
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -56,6 +57,9 @@
         self._documents = documents
         self._defaults = defaults
         self._operator_port = operator_port
+        self._translating = anyio.Lock()
+        """Held while a configuration is translated, which takes long for a large one: several that
+        come at once would hold up the process's other tasks together."""
 
     def make_app(self) -> Starlette:
         """Return the ASGI application."""
@@ -68,7 +72,8 @@
 
     async def _replace(self, request: Request) -> Response:
         text = await read_body(request, limit_bytes=MAX_CONFIGURATION_BYTES)
-        submission = translate_configuration(text, defaults=self._defaults)
+        async with self._translating:
+            submission = translate_configuration(text, defaults=self._defaults)
         await self._documents.replace(
             base=_read_base_revision(request),
             revision=submission.revision,
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -257,6 +257,11 @@
     And revision 7 based on 5 is submitted
     Then the response is 200 and revision 8 is read back unchanged
 
+  Scenario: Other tasks run between configurations that come at once
+    Given a document state machine with revision 5
+    When 8 configurations based on 5 are submitted at once
+    Then no two of them are translated in one iteration of the event loop
+
   Scenario: A change of a single section discards the submitted text
     Given a document state machine with revision 5
     When a team changes a single section
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -2,8 +2,10 @@
 import re
 from collections import Counter
 from pathlib import Path
+from unittest.mock import patch
 
 import anyio
+import anyio.lowlevel
 import msgspec
 from behave import given, then, when
 
@@ -11,6 +13,7 @@
 from front.fakes import make_attempt_message
 from samphirespring.connection.http_server import ACCEPTED_REQUEST_TIMEOUT_S
 from samphirespring.connection.link_errors import LinkUnavailableError
+from samphirespring.platform import operator_http
 from samphirespring.platform.announcements import AnnouncementApp, parse_heartbeat
 from samphirespring.platform.backend_dialect import PlatformBackendDialect
 from samphirespring.platform.caller_dialect import PlatformCallerDialect
@@ -521,6 +524,40 @@
         context.submitted_texts[json.loads(text)["version"]] = text
 
 
+@when("{count:d} configurations based on {base:d} are submitted at once")
+def step_submit_at_once(context, count, base):
+    context.translated_at = []
+    iterations = 0
+
+    async def count_iterations():
+        nonlocal iterations
+        while True:
+            iterations += 1
+            await anyio.lowlevel.checkpoint()
+
+    def record_translation(*arguments, **options):
+        context.translated_at.append(iterations)
+        return translate_configuration(*arguments, **options)
+
+    async def main():
+        async with anyio.create_task_group() as counting:
+            counting.start_soon(count_iterations)
+            async with anyio.create_task_group() as calls:
+                for number in range(count):
+                    text = json.dumps(make_configuration(base + 1 + number)).encode()
+                    calls.start_soon(call_with_base, context.app, text, base)
+            counting.cancel_scope.cancel()
+
+    with patch.object(operator_http, "translate_configuration", record_translation):
+        anyio.run(main)
+    assert len(context.translated_at) == count, context.translated_at
+
+
+@then("no two of them are translated in one iteration of the event loop")
+def step_check_iterations(context):
+    assert len(set(context.translated_at)) == len(context.translated_at), context.translated_at
+
+
 async def call_with_base(app, text, base):
     async def app_with_base(scope, receive, send):
         scope["headers"].append((b"x-base-version", str(base).encode()))
