Steps of waiting share how reads are described

Cause: two new steps built the same arguments of a stream of reads (found by the search for duplicates). make_reads and the argument reads of play serve both. Tests only: no scenario, bound or assertion changed.

--- a/tests/features/steps/waiting_steps.py
+++ b/tests/features/steps/waiting_steps.py
@@ -99,13 +99,13 @@
             await anyio.sleep(1 / rate)
 
 
-def play(context, *streams, others=()):
+def play(context, *streams, reads=None):
     async def main():
         async with anyio.create_task_group() as group:
             for stream in streams:
                 group.start_soon(partial(send_steadily, context, **stream))
-            for other in others:
-                group.start_soon(other)
+            if reads is not None:
+                group.start_soon(partial(send_reads, context, **reads))
 
     context.load.run(main)
 
@@ -132,21 +132,23 @@
             await anyio.sleep(1 / rate)
 
 
+def make_reads(rank, run_ms, deadline_ms, rate, span):
+    return {
+        "rank": rank,
+        "run_ms": run_ms,
+        "deadline_ms": deadline_ms,
+        "rate": rate,
+        "span": span,
+    }
+
+
 @when(
     "actions of rank {rank:d} arrive at {rate:d} per second for {span:d} s, and reads of {run:d} ms"
     " and rank {read_rank:d} with deadlines of {deadline:d} ms at {read_rate:d} per second"
 )
 def step_actions_and_reads(context, rank, rate, span, run, read_rank, deadline, read_rate):
-    reads = partial(
-        send_reads,
-        context,
-        rank=read_rank,
-        run_ms=run,
-        deadline_ms=deadline,
-        rate=read_rate,
-        span=span,
-    )
-    play(context, {"rate": rate, "start_s": 0.0, "end_s": span, "rank": rank}, others=[reads])
+    actions = {"rate": rate, "start_s": 0.0, "end_s": span, "rank": rank}
+    play(context, actions, reads=make_reads(read_rank, run, deadline, read_rate, span))
 
 
 @when(
@@ -157,20 +159,11 @@
 def step_workspaces_and_reads(
     context, count, rate, rank, span, run, read_rank, deadline, read_rate
 ):
-    reads = partial(
-        send_reads,
-        context,
-        rank=read_rank,
-        run_ms=run,
-        deadline_ms=deadline,
-        rate=read_rate,
-        span=span,
-    )
     streams = [
         {"rate": rate, "start_s": 0.0, "end_s": span, "rank": rank, "workspace": f"w{number}"}
         for number in range(count)
     ]
-    play(context, *streams, others=[reads])
+    play(context, *streams, reads=make_reads(read_rank, run, deadline, read_rate, span))
 
 
 @then("at least half of the reads were admitted")
